--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+VENV ?= .venv
+PYTHON ?= python3
+BIN = $(VENV)/bin
+STAMP = $(VENV)/.installed
+TREES = basilwinch bench
+
+.PHONY: all setup run test lint format bench bench-throughput bench-recovery bench-control bench-gateway soak
+
+all: test
+
+setup: $(STAMP)
+
+$(STAMP): requirements.lock pyproject.toml
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q --disable-pip-version-check -r requirements.lock
+	$(BIN)/pip install -q --disable-pip-version-check --no-deps --no-build-isolation -e .
+	touch $@
+
+run: setup
+	$(BIN)/basilwinchd --embedded
+
+lint: setup
+	$(BIN)/python -m black --check -q $(TREES)
+	$(BIN)/python -m ruff check -q --no-cache $(TREES)
+
+format: setup
+	$(BIN)/python -m black -q $(TREES)
+	$(BIN)/python -m ruff check -q --no-cache --fix $(TREES)
+
+test: setup
+	PYTHONHASHSEED=0 $(BIN)/python -m pytest
--- /dev/null
+++ b/basilwinch/catalog/__init__.py
@@ -0,0 +1,25 @@
+"""Types of the state in force: models, servers, services and organisations."""
+
+from basilwinch.catalog.catalog import Catalog
+from basilwinch.catalog.entries import (
+    Adapter,
+    Model,
+    Organisation,
+    Server,
+    ServerState,
+    Service,
+    ServiceKind,
+    Version,
+)
+
+__all__ = [
+    "Adapter",
+    "Catalog",
+    "Model",
+    "Organisation",
+    "Server",
+    "ServerState",
+    "Service",
+    "ServiceKind",
+    "Version",
+]
--- /dev/null
+++ b/basilwinch/exception.py
@@ -0,0 +1,188 @@
+"""Failures as typed values, and the exceptions that carry them across I/O boundaries."""
+
+__all__ = [
+    "FailureKind",
+    "Failure",
+    "BasilwinchError",
+    "CallerError",
+    "ConfigurationError",
+    "PlatformError",
+    "ProtocolError",
+    "ServerError",
+    "catalogue",
+]
+
+_KINDS: dict[str, "FailureKind"] = {}
+
+
+class FailureKind:
+    """One entry of the error catalogue.
+
+    :param code: stable machine-readable code
+    :param status: HTTP status that a caller gets
+    :param summary: one sentence for the catalogue
+    :param retryable: whether the same call may succeed later without a change by the caller
+    :raises ValueError: if the code is taken
+
+    >>> UNKNOWN_MODEL.because("no model 'x'").code
+    'unknown_model'
+    """
+
+    __slots__ = ("code", "status", "summary", "retryable")
+
+    def __init__(self, code: str, status: int, summary: str, retryable: bool = False):
+        if code in _KINDS:
+            raise ValueError(f"failure code {code!r} is defined twice")
+        self.code = code
+        self.status = status
+        self.summary = summary
+        self.retryable = retryable
+        _KINDS[code] = self
+
+    def because(self, reason: str, retry_after: float | None = None, **detail) -> "Failure":
+        """Return a failure of this kind.
+
+        :param reason: what happened, for a person
+        :param retry_after: seconds after which a retry makes sense, if known
+        :param detail: further values for logs and callers
+        """
+        return Failure(self, reason, retry_after, detail)
+
+    def __repr__(self):
+        return f"FailureKind({self.code!r})"
+
+
+class Failure:
+    """A sentinel value that stands for a failed result. It is falsy.
+
+    :param kind: entry of the error catalogue
+    :param reason: what happened, for a person
+    :param retry_after: seconds after which a retry makes sense, or None
+    :param detail: further values
+
+    >>> bool(RATE_LIMITED.because("too fast", retry_after=0.5))
+    False
+    """
+
+    __slots__ = ("kind", "reason", "retry_after", "detail")
+
+    def __init__(
+        self, kind: FailureKind, reason: str, retry_after: float | None = None, detail=None
+    ):
+        self.kind = kind
+        self.reason = reason
+        self.retry_after = retry_after
+        self.detail = detail or {}
+
+    @property
+    def code(self) -> str:
+        """The stable code of the kind."""
+        return self.kind.code
+
+    def to_dict(self) -> dict:
+        """Return the JSON form that callers and the command-line tool show."""
+        fields = {"code": self.code, "message": self.kind.summary, "reason": self.reason}
+        if self.retry_after is not None:
+            fields["retry_after"] = self.retry_after
+        if self.detail:
+            fields["detail"] = self.detail
+        return fields
+
+    def __bool__(self):
+        return False
+
+    def __repr__(self):
+        return f"Failure({self.code}: {self.reason})"
+
+
+class BasilwinchError(Exception):
+    """Base of all exceptions of this project; carries a :class:`Failure`.
+
+    :param failure: the failure to carry
+    """
+
+    def __init__(self, failure: Failure):
+        super().__init__(f"{failure.code}: {failure.reason}")
+        self.failure = failure
+
+
+class CallerError(BasilwinchError):
+    """A caller sent something that cannot be served."""
+
+
+class ConfigurationError(BasilwinchError):
+    """A setting or a release note is not valid."""
+
+
+class PlatformError(BasilwinchError):
+    """The platform refused or did not answer."""
+
+
+class ProtocolError(BasilwinchError):
+    """A peer sent a malformed message."""
+
+
+class ServerError(BasilwinchError):
+    """A backend server refused, died or did not answer."""
+
+
+def catalogue() -> list[FailureKind]:
+    """Return all failure kinds, ordered by code.
+
+    :returns: the error catalogue
+    """
+    return [_KINDS[code] for code in sorted(_KINDS)]
+
+
+# Callers.
+MALFORMED_REQUEST = FailureKind("malformed_request", 400, "The request is not valid.")
+BODY_TOO_LARGE = FailureKind("body_too_large", 413, "The request body is over the limit.")
+REQUEST_TIMEOUT = FailureKind("request_timeout", 408, "The request body came too slowly.")
+WRONG_KEY = FailureKind("wrong_key", 401, "The organisation key is missing or not known.")
+NOT_FOUND = FailureKind("not_found", 404, "There is nothing under this path.")
+UNKNOWN_MODEL = FailureKind("unknown_model", 404, "The model is not known.")
+UNKNOWN_SERVICE = FailureKind("unknown_service", 404, "The service is not known.")
+MODEL_NOT_ALLOWED = FailureKind(
+    "model_not_allowed", 403, "The organisation may not use this model."
+)
+
+# Admission and routing.
+RATE_LIMITED = FailureKind("rate_limited", 429, "The organisation is over its limit.", True)
+QUEUE_FULL = FailureKind("queue_full", 503, "The queue is full.", True)
+DEADLINE_UNREACHABLE = FailureKind(
+    "deadline_unreachable", 503, "The answer would come after its deadline.", True
+)
+DEADLINE_EXCEEDED = FailureKind("deadline_exceeded", 504, "The deadline passed.", True)
+NO_CHAIN = FailureKind("no_chain", 503, "No chain of servers holds every layer.", True)
+BROKEN_CHAIN = FailureKind("broken_chain", 500, "The layer ranges have a gap or an overlap.")
+NOT_READY = FailureKind("not_ready", 503, "The node is not ready.", True)
+DRAINING = FailureKind("draining", 503, "The node is leaving.", True)
+RETRIES_EXHAUSTED = FailureKind("retries_exhausted", 502, "Every attempt failed.", True)
+
+# Frames.
+WRONG_REQUEST = FailureKind("wrong_request", 502, "A frame belongs to another request.")
+WRONG_ATTEMPT = FailureKind("wrong_attempt", 502, "A frame belongs to another attempt.")
+WRONG_POSITION = FailureKind("wrong_position", 502, "A token is missing or doubled.")
+WRONG_LAYERS = FailureKind("wrong_layers", 502, "Layers did not run exactly once and in order.")
+
+# Servers.
+STAGE_DIED = FailureKind("stage_died", 502, "A pipeline stage died.", True)
+STREAM_LOST = FailureKind("stream_lost", 502, "The stream broke off.", True)
+SERVER_REFUSED = FailureKind("server_refused", 502, "The server refused the call.", True)
+SERVER_LEAVING = FailureKind("server_leaving", 503, "The server is leaving.", True)
+SERVER_UNREACHABLE = FailureKind(
+    "server_unreachable", 502, "No connection; the call was certainly not sent.", True
+)
+FENCED = FailureKind("fenced", 409, "The fencing number is old.")
+
+# Platform.
+PLATFORM_UNAVAILABLE = FailureKind(
+    "platform_unavailable", 503, "The platform did not take the call; it had no effect.", True
+)
+PLATFORM_AMBIGUOUS = FailureKind(
+    "platform_ambiguous", 503, "The platform's answer was lost; the call may have had effect.", True
+)
+LEASE_LOST = FailureKind("lease_lost", 409, "The lease is not held any more.")
+
+# Settings.
+INVALID_SETTING = FailureKind("invalid_setting", 400, "A setting is not valid.")
--- /dev/null
+++ b/basilwinch/pipeline/chain.py
@@ -0,0 +1,56 @@
+"""Stages and chains."""
+
+from basilwinch.exception import BROKEN_CHAIN, Failure
+from basilwinch.record import Record
+
+__all__ = ["Chain", "Stage"]
+
+
+class Stage(Record):
+    """A layer range on one server: layers ``first`` to ``end - 1``."""
+
+    __slots__ = ("server", "first", "end")
+
+    def to_list(self) -> list:
+        """Return the JSON form ``[server, first, end]``."""
+        return [self.server, self.first, self.end]
+
+
+class Chain(Record):
+    """An ordered chain of stages that covers every layer of a model once.
+
+    :param model: name of the model
+    :param stages: tuple of :class:`Stage`
+    """
+
+    __slots__ = ("model", "stages")
+
+    @classmethod
+    def from_stages(cls, model: str, layers: int, stages) -> "Chain | Failure":
+        """Build a chain, or a failure if the ranges do not cover the layers exactly once.
+
+        :param layers: number of layers of the model
+        :param stages: iterable of stages in the order of execution
+        :returns: a chain, or ``BROKEN_CHAIN``. Linear in the number of stages.
+
+        >>> bool(Chain.from_stages("m", 4, [Stage("a", 0, 2), Stage("b", 2, 4)]))
+        True
+        >>> Chain.from_stages("m", 4, [Stage("a", 0, 2), Stage("b", 3, 4)])
+        Failure(broken_chain: stage b starts at layer 3, expected 2)
+        """
+        stages = tuple(stages)
+        expected = 0
+        for stage in stages:
+            if stage.first != expected or stage.end <= stage.first:
+                return BROKEN_CHAIN.because(
+                    f"stage {stage.server} starts at layer {stage.first}, expected {expected}"
+                )
+            expected = stage.end
+        if expected != layers:
+            return BROKEN_CHAIN.because(f"the chain ends at layer {expected} of {layers}")
+        return cls(model, stages)
+
+    @property
+    def servers(self) -> tuple[str, ...]:
+        """Names of the servers in the order of execution."""
+        return tuple(stage.server for stage in self.stages)
--- /dev/null
+++ b/basilwinch/platform/interface.py
@@ -0,0 +1,122 @@
+"""Interfaces and values of the platform, free of any wire protocol."""
+
+import enum
+from collections.abc import AsyncIterator
+from contextlib import AbstractAsyncContextManager
+from typing import Protocol
+
+from basilwinch.record import Record
+
+__all__ = [
+    "Compare",
+    "KeyValue",
+    "KeyValueStore",
+    "LeaseGrant",
+    "Page",
+    "Transaction",
+    "VmEntry",
+    "VmList",
+    "VmState",
+    "WatchEvent",
+    "WeightStore",
+]
+
+
+class KeyValue(Record):
+    """A key with its value (bytes), the revision of its last change, and its lease (0 for none)."""
+
+    __slots__ = ("key", "value", "mod_revision", "lease")
+    _defaults = {"lease": 0}
+
+
+class Compare(Record):
+    """A condition: the key was last changed at ``mod_revision``; 0 means that it must not exist."""
+
+    __slots__ = ("key", "mod_revision")
+
+
+class Page(Record):
+    """Part of a listing; ``more`` tells whether keys follow the last item."""
+
+    __slots__ = ("items", "more")
+
+
+class Transaction(Record):
+    """Outcome of a transaction; ``revision`` is the store's revision after it."""
+
+    __slots__ = ("succeeded", "revision")
+
+
+class LeaseGrant(Record):
+    """A granted lease with its time to live in seconds."""
+
+    __slots__ = ("lease", "ttl_s")
+
+
+class WatchEvent(Record):
+    """A change of a key; ``value`` is None if the key was deleted."""
+
+    __slots__ = ("key", "value", "mod_revision")
+
+
+class VmState(enum.StrEnum):
+    """State of a VM in the platform's list."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+class VmEntry(Record):
+    """A VM in the platform's list."""
+
+    __slots__ = ("name", "address", "state")
+
+
+class KeyValueStore(Protocol):
+    """The key-value service.
+
+    Every method raises ``PlatformError`` with ``PLATFORM_UNAVAILABLE`` if the call certainly had no
+    effect, or ``PLATFORM_AMBIGUOUS`` if it may have had one.
+    """
+
+    async def get(self, key: str) -> KeyValue | None:
+        """Return a key, or None."""
+
+    async def scan(self, prefix: str, limit: int = 1000, after: str = "") -> Page:
+        """Return keys with a prefix, in order, after the key ``after``."""
+
+    async def transact(
+        self, compares: list[Compare], puts: list[KeyValue], deletes: list[str] = ()
+    ) -> Transaction:
+        """Apply all changes if all conditions hold, else none.
+
+        The ``mod_revision`` of the puts is ignored; their ``lease`` is attached.
+        """
+
+    async def grant(self, ttl_s: float) -> LeaseGrant:
+        """Grant a lease."""
+
+    async def keep_alive(self, lease: int) -> LeaseGrant:
+        """Renew a lease; raises ``PlatformError`` with ``LEASE_LOST`` if it has expired."""
+
+    async def revoke(self, lease: int) -> None:
+        """End a lease and delete its keys."""
+
+    def watch(
+        self, prefix: str, from_revision: int = 0
+    ) -> AbstractAsyncContextManager[AsyncIterator[WatchEvent]]:
+        """Watch keys with a prefix, from a revision on (0 for now on)."""
+
+
+class VmList(Protocol):
+    """The platform's list of live and leaving VMs, which lags."""
+
+    async def snapshot(self) -> list[VmEntry]:
+        """Return the list; raises ``PlatformError`` if it cannot be had."""
+
+
+class WeightStore(Protocol):
+    """The rate-limited store of weights."""
+
+    def fetch_cost(self, size: int) -> float:
+        """Return the seconds that a fetch of ``size`` bytes takes at the store's rate."""
--- /dev/null
+++ b/basilwinch/record.py
@@ -0,0 +1,66 @@
+"""Base class of the plain value classes."""
+
+__all__ = ["Record"]
+
+
+class Record:
+    """A value with named slots, compared by content.
+
+    A subclass lists its fields in ``__slots__`` and its optional ones in ``_defaults``. Default
+    values must be immutable because all instances share them.
+
+    :raises TypeError: on a missing, unknown or doubled field
+
+    >>> class Point(Record):
+    ...     __slots__ = ("x", "y")
+    ...     _defaults = {"y": 0}
+    >>> Point(1)
+    Point(x=1, y=0)
+    >>> Point(1) == Point(x=1, y=0)
+    True
+    """
+
+    __slots__ = ()
+    _defaults: dict = {}
+
+    def __init__(self, *args, **fields):
+        names = self.__slots__
+        if len(args) > len(names):
+            raise TypeError(f"{type(self).__name__} takes {len(names)} fields, got {len(args)}")
+        for name, value in zip(names, args, strict=False):
+            if name in fields:
+                raise TypeError(f"{type(self).__name__} got field {name!r} twice")
+            setattr(self, name, value)
+        for name in names[len(args) :]:
+            if name in fields:
+                setattr(self, name, fields.pop(name))
+            elif name in self._defaults:
+                setattr(self, name, self._defaults[name])
+            else:
+                raise TypeError(f"{type(self).__name__} lacks field {name!r}")
+        if fields:
+            raise TypeError(f"{type(self).__name__} has no field {sorted(fields)[0]!r}")
+
+    def replace(self, **changes):
+        """Return a copy with some fields changed.
+
+        :param changes: new values by field name
+        :returns: a new value of the same class
+        """
+        return type(self)(**(self.to_dict() | changes))
+
+    def to_dict(self) -> dict:
+        """Return the fields by name, in the order of ``__slots__``."""
+        return {name: getattr(self, name) for name in self.__slots__}
+
+    def __eq__(self, other):
+        if type(other) is not type(self):
+            return NotImplemented
+        return all(getattr(self, name) == getattr(other, name) for name in self.__slots__)
+
+    def __hash__(self):
+        return hash((type(self), *(getattr(self, name) for name in self.__slots__)))
+
+    def __repr__(self):
+        fields = ", ".join(f"{name}={getattr(self, name)!r}" for name in self.__slots__)
+        return f"{type(self).__name__}({fields})"
