Add settings read from flags and environment variables

Cause: both programs need settings that are checked at start. Change: table-driven settings; each is a flag and a BASILWINCH_ variable; all faults are listed at once and the program exits with 2. Measured: make test passes; a test starts with four faults and sees all four.

--- /dev/null
+++ b/basilwinch/settings/__init__.py
@@ -0,0 +1,41 @@
+"""Settings from flags and environment variables, all checked at start."""
+
+from basilwinch.settings.daemon import DAEMON_SETTINGS
+from basilwinch.settings.kind import (
+    AddressKind,
+    ChoiceKind,
+    CountKind,
+    FlagKind,
+    Kind,
+    ListKind,
+    NumberKind,
+    SecretKind,
+    TextKind,
+)
+from basilwinch.settings.reader import (
+    Setting,
+    Settings,
+    add_flags,
+    read_or_exit,
+    read_settings,
+    render_table,
+)
+
+__all__ = [
+    "AddressKind",
+    "ChoiceKind",
+    "CountKind",
+    "DAEMON_SETTINGS",
+    "FlagKind",
+    "Kind",
+    "ListKind",
+    "NumberKind",
+    "SecretKind",
+    "Setting",
+    "Settings",
+    "TextKind",
+    "add_flags",
+    "read_or_exit",
+    "read_settings",
+    "render_table",
+]
--- /dev/null
+++ b/basilwinch/settings/reader.py
@@ -0,0 +1,133 @@
+"""Reads settings from flags and environment variables."""
+
+import argparse
+import os
+import sys
+from types import SimpleNamespace
+
+from basilwinch.exception import INVALID_SETTING, ConfigurationError, Failure
+from basilwinch.record import Record
+from basilwinch.settings.kind import FlagKind, SecretKind
+
+__all__ = [
+    "Setting",
+    "Settings",
+    "add_flags",
+    "read_or_exit",
+    "read_settings",
+    "render_table",
+]
+
+EXIT_USAGE = 2
+
+
+class Setting(Record):
+    """One setting.
+
+    :param name: name with underscores; ``body_limit`` is ``--body-limit`` and
+        ``BASILWINCH_BODY_LIMIT``
+    :param kind: :class:`~basilwinch.settings.kind.Kind` of its value
+    :param default: text of the default value
+    :param help: what it does, with the unit
+    """
+
+    __slots__ = ("name", "kind", "default", "help")
+
+    @property
+    def flag(self) -> str:
+        """The command-line flag."""
+        return "--" + self.name.replace("_", "-")
+
+    @property
+    def variable(self) -> str:
+        """The environment variable."""
+        return "BASILWINCH_" + self.name.upper()
+
+
+class Settings(SimpleNamespace):
+    """Parsed settings as attributes."""
+
+
+def add_flags(parser: argparse.ArgumentParser, definitions) -> None:
+    """Add a flag for each setting to an argument parser.
+
+    :param definitions: the settings to add
+    """
+    for setting in definitions:
+        extra = {"metavar": "VALUE"}
+        if isinstance(setting.kind, FlagKind):
+            extra = {"action": "store_const", "const": "true"}
+        default = f" (default: {setting.default})" if setting.default else ""
+        description = f"{setting.help}; {setting.kind.allowed}{default} [{setting.variable}]"
+        parser.add_argument(
+            setting.flag,
+            dest=setting.name,
+            default=None,
+            help=description.replace("%", "%%"),
+            **extra,
+        )
+
+
+def read_settings(definitions, flags: dict, environ: dict) -> Settings:
+    """Read and check all settings; a flag goes before its variable, that before the default.
+
+    :param definitions: the settings to read
+    :param flags: texts by setting name, None where the flag was not given
+    :param environ: environment variables
+    :returns: the parsed settings
+    :raises ConfigurationError: with every fault in ``detail["faults"]``
+    """
+    values, faults = {}, []
+    for setting in definitions:
+        text, source = _find_text(setting, flags, environ)
+        value = setting.kind.parse(text)
+        if isinstance(value, Failure):
+            faults.append(f"{source}: {_describe_fault(setting, value)}")
+        else:
+            values[setting.name] = value
+    if faults:
+        raise ConfigurationError(INVALID_SETTING.because("; ".join(faults), faults=faults))
+    return Settings(**values)
+
+
+def read_or_exit(parser: argparse.ArgumentParser, definitions, argv=None) -> Settings:
+    """Parse the command line and the environment; print every fault and exit with 2 on any.
+
+    :param parser: parser to which :func:`add_flags` was applied
+    :param argv: arguments, by default those of the process
+    """
+    flags = vars(parser.parse_args(argv))
+    try:
+        settings = read_settings(definitions, flags, dict(os.environ))
+    except ConfigurationError as error:
+        for fault in error.failure.detail["faults"]:
+            print(f"{parser.prog}: {error.failure.code}: {fault}", file=sys.stderr)
+        sys.exit(EXIT_USAGE)
+    return settings
+
+
+def render_table(definitions) -> str:
+    """Return the settings as a Markdown table.
+
+    :param definitions: the settings to list
+    """
+    rows = ["| flag | variable | default | allowed | meaning |", "|---|---|---|---|---|"]
+    for setting in definitions:
+        default = f"`{setting.default}`" if setting.default else ""
+        cells = (f"`{setting.flag}`", f"`{setting.variable}`", default)
+        rows.append("| " + " | ".join((*cells, setting.kind.allowed, setting.help)) + " |")
+    return "\n".join(rows) + "\n"
+
+
+def _find_text(setting: Setting, flags: dict, environ: dict) -> tuple[str, str]:
+    if flags.get(setting.name) is not None:
+        return flags[setting.name], setting.flag
+    if setting.variable in environ:
+        return environ[setting.variable], setting.variable
+    return setting.default, setting.flag
+
+
+def _describe_fault(setting: Setting, fault: Failure) -> str:
+    if isinstance(getattr(setting.kind, "item", setting.kind), SecretKind):
+        return f"the value is not allowed; expected {setting.kind.allowed}"
+    return fault.reason
--- /dev/null
+++ b/basilwinch/settings/tests/test_reader.py
@@ -0,0 +1,61 @@
+"""Tests of reading settings."""
+
+import argparse
+
+import pytest
+
+from basilwinch.exception import ConfigurationError
+from basilwinch.settings import (
+    DAEMON_SETTINGS,
+    add_flags,
+    read_or_exit,
+    read_settings,
+    render_table,
+)
+
+
+@pytest.fixture
+def parser():
+    parser = argparse.ArgumentParser("basilwinchd")
+    add_flags(parser, DAEMON_SETTINGS)
+    return parser
+
+
+def test_defaults_are_valid():
+    """Guards against a default that its own check refuses."""
+    settings = read_settings(DAEMON_SETTINGS, {}, {})
+    assert settings.listen == ("127.0.0.1", 8080)
+    assert settings.embedded is False
+
+
+def test_flag_goes_before_variable_before_default():
+    """Guards against a variable that overrides an explicit flag."""
+    environ = {"BASILWINCH_ZONE": "garia", "BASILWINCH_DEADLINE": "5"}
+    settings = read_settings(DAEMON_SETTINGS, {"zone": "saltlake"}, environ)
+    assert (settings.zone, settings.deadline) == ("saltlake", 5.0)
+
+
+def test_every_fault_is_listed_at_once():
+    """Guards against operators who must start the daemon once for each mistake."""
+    environ = {"BASILWINCH_LISTEN": "localhost:80", "BASILWINCH_BODY_LIMIT": "many"}
+    with pytest.raises(ConfigurationError) as caught:
+        read_settings(DAEMON_SETTINGS, {"log_style": "xml", "peers": "1.2.3.4:99999"}, environ)
+    faults = " ".join(caught.value.failure.detail["faults"])
+    for part in ("BASILWINCH_LISTEN", "'localhost:80'", "IP:PORT", "'many'", "'xml'", "--peers"):
+        assert part in faults
+
+
+def test_secret_is_not_printed():
+    """Guards against keys in logs and terminals."""
+    table = render_table(DAEMON_SETTINGS)
+    assert "`--cluster-keys`" in table
+    settings = read_settings(DAEMON_SETTINGS, {"cluster_keys": "one,two"}, {})
+    assert settings.cluster_keys == ("one", "two")
+
+
+def test_bad_value_exits_with_usage_status(parser, capsys):
+    """Guards against a daemon that starts with a wrong value."""
+    with pytest.raises(SystemExit) as caught:
+        read_or_exit(parser, DAEMON_SETTINGS, ["--body-limit", "1", "--deadline", "0"])
+    assert caught.value.code == 2
+    assert len(capsys.readouterr().err.splitlines()) == 2
