--- a/basilwinch/server/__init__.py
+++ b/basilwinch/server/__init__.py
@@ -10,10 +10,14 @@
     ServiceClient,
     ServiceReply,
 )
+from basilwinch.server.engine import HttpEngineClient
+from basilwinch.server.plain import HttpServiceClient
 
 __all__ = [
     "EngineCall",
     "EngineClient",
+    "HttpEngineClient",
+    "HttpServiceClient",
     "OrderKind",
     "ServerOrder",
     "ServerOrderReply",
--- /dev/null
+++ b/basilwinch/server/connection.py
@@ -0,0 +1,55 @@
+"""Single HTTP requests and the translation of connection errors."""
+
+from contextlib import contextmanager
+
+import httpcore
+
+from basilwinch.catalog import Server
+from basilwinch.exception import SERVER_UNREACHABLE, STREAM_LOST, ServerError
+
+__all__ = ["send_request", "translate_errors"]
+
+_NOT_SENT = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
+_LOST = (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError)
+
+
+@contextmanager
+def translate_errors(server: str):
+    """Turn errors of httpcore into :class:`~basilwinch.exception.ServerError`.
+
+    :param server: name of the server, for the reason
+    :raises ServerError: ``SERVER_UNREACHABLE`` if nothing was sent, else ``STREAM_LOST``
+    """
+    try:
+        yield
+    except _NOT_SENT as error:
+        reason = f"{server}: {type(error).__name__}"
+        raise ServerError(SERVER_UNREACHABLE.because(reason, server=server)) from error
+    except _LOST as error:
+        reason = f"{server}: {type(error).__name__}"
+        raise ServerError(STREAM_LOST.because(reason, server=server)) from error
+
+
+async def send_request(
+    pool: httpcore.AsyncConnectionPool,
+    server: Server,
+    method: str,
+    path: str,
+    headers=(),
+    body: bytes = b"",
+    timeout_s: float = 10.0,
+) -> httpcore.Response:
+    """Send one request to a server and read the whole response.
+
+    :param timeout_s: longest wait for each read or write in seconds
+    :raises ServerError: ``SERVER_UNREACHABLE`` if it was certainly not sent, else ``STREAM_LOST``
+    """
+    timeouts = {"connect": 0.5, "read": timeout_s, "write": timeout_s, "pool": 1.0}
+    with translate_errors(server.name):
+        return await pool.request(
+            method,
+            f"http://{server.address}{path}",
+            headers=list(headers),
+            content=body,
+            extensions={"timeout": timeouts},
+        )
--- /dev/null
+++ b/basilwinch/server/engine.py
@@ -0,0 +1,139 @@
+"""Engine client over HTTP: one JSON call, newline-delimited JSON frames back."""
+
+import json
+from collections.abc import Callable
+from contextlib import asynccontextmanager
+
+import httpcore
+
+from basilwinch import exception
+from basilwinch.catalog import Server
+from basilwinch.exception import Failure, FailureKind, ServerError
+from basilwinch.pipeline import Stage, TokenFrame
+from basilwinch.server.call import EngineCall, ServerOrder, ServerOrderReply
+from basilwinch.server.connection import send_request, translate_errors
+
+__all__ = ["HttpEngineClient"]
+
+# An engine in a long prefill sends nothing; the relay decides on stalls, so this limit only
+# frees the socket of a peer that vanished without closing it.
+READ_TIMEOUT_S = 120.0
+CONNECT_TIMEOUT_S = 0.5
+MAX_FRAME_BYTES = 1 << 20
+
+_STREAM_KINDS = {
+    kind.code: kind
+    for kind in (
+        exception.STAGE_DIED,
+        exception.STREAM_LOST,
+        exception.SERVER_REFUSED,
+        exception.SERVER_LEAVING,
+        exception.SERVER_UNREACHABLE,
+        exception.FENCED,
+    )
+}
+
+
+class HttpEngineClient:
+    """Runs model requests on engines over pooled HTTP connections.
+
+    :param find_server: returns the catalog entry of a server by name, or None
+    :param pool: an httpcore connection pool
+    """
+
+    __slots__ = ("_find_server", "_pool")
+
+    def __init__(self, find_server: Callable, pool: httpcore.AsyncConnectionPool):
+        self._find_server = find_server
+        self._pool = pool
+
+    @classmethod
+    def from_config(cls, find_server: Callable, max_connections: int) -> "HttpEngineClient":
+        """Build a client with its own pool.
+
+        :param find_server: returns the catalog entry of a server by name, or None
+        :param max_connections: connections open at most; one stream takes one
+        """
+        pool = httpcore.AsyncConnectionPool(
+            max_connections=max_connections, max_keepalive_connections=256, keepalive_expiry=30.0
+        )
+        return cls(find_server, pool)
+
+    @asynccontextmanager
+    async def open(self, call: EngineCall):
+        """Open a stream of frames; leaving the context closes the connection, which cancels it.
+
+        :raises ServerError: as :class:`~basilwinch.server.call.EngineClient` says
+        """
+        first = self._require_server(call.chain.stages[0].server)
+        fields = call.to_json_dict()
+        fields["addresses"] = {
+            stage.server: self._require_server(stage.server).address for stage in call.chain.stages
+        }
+        body = json.dumps(fields).encode()
+        url = f"http://{first.address}/v1/stream"
+        timeouts = {"connect": CONNECT_TIMEOUT_S, "read": READ_TIMEOUT_S, "write": 5.0, "pool": 5.0}
+        with translate_errors(first.name):
+            async with self._pool.stream(
+                "POST", url, content=body, extensions={"timeout": timeouts}
+            ) as response:
+                if response.status != 200:
+                    raise ServerError(_read_failure(await response.aread(), first.name))
+                yield _read_frames(response, first.name)
+
+    async def order(self, server: Server, order: ServerOrder) -> ServerOrderReply:
+        """Give an order to a server.
+
+        :raises ServerError: with ``FENCED`` or a connection failure
+        """
+        body = json.dumps(order.to_dict()).encode()
+        response = await send_request(self._pool, server, "POST", "/v1/order", (), body)
+        if response.status != 200:
+            raise ServerError(_read_failure(response.content, server.name))
+        fields = json.loads(response.content)
+        holds = tuple((model, Stage(*stage)) for model, stage in fields["holds"])
+        return ServerOrderReply(fields["accepted"], holds)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._pool.aclose()
+
+    def _require_server(self, name: str) -> Server:
+        server = self._find_server(name)
+        if server is None:
+            raise ServerError(exception.SERVER_UNREACHABLE.because(f"no server {name!r}"))
+        return server
+
+
+async def _read_frames(response, server: str):
+    rest = b""
+    async for part in response.aiter_stream():
+        *lines, rest = (rest + part).split(b"\n")
+        if len(rest) > MAX_FRAME_BYTES:
+            raise ServerError(exception.STREAM_LOST.because(f"frame too long from {server}"))
+        for line in lines:
+            yield _parse_line(line, server)
+
+
+def _parse_line(line: bytes, server: str) -> TokenFrame:
+    try:
+        fields = json.loads(line)
+        if "error" in fields:
+            raise ServerError(_to_failure(fields["error"], server))
+        return TokenFrame.from_json_dict(fields)
+    except (ValueError, TypeError, KeyError) as error:
+        raise ServerError(
+            exception.STREAM_LOST.because(f"malformed frame from {server}: {error}")
+        ) from error
+
+
+def _read_failure(content: bytes, server: str) -> Failure:
+    try:
+        return _to_failure(json.loads(content)["error"], server)
+    except (ValueError, TypeError, KeyError):
+        return exception.SERVER_REFUSED.because(f"{server} sent no error document")
+
+
+def _to_failure(fields: dict, server: str) -> Failure:
+    kind: FailureKind = _STREAM_KINDS.get(fields["code"], exception.SERVER_REFUSED)
+    return kind.because(fields.get("reason", ""), server=fields.get("server", server))
