--- a/basilwinch/exception.py
+++ b/basilwinch/exception.py
@@ -182,6 +182,12 @@
 PLATFORM_AMBIGUOUS = FailureKind(
     "platform_ambiguous", 503, "The platform's answer was lost; the call may have had effect.", True
 )
+PLATFORM_REFUSED = FailureKind(
+    "platform_refused", 500, "The platform refused the call as invalid; it had no effect."
+)
+HISTORY_COMPACTED = FailureKind(
+    "history_compacted", 500, "The platform no longer keeps the events that a watch asked for."
+)
 LEASE_LOST = FailureKind("lease_lost", 409, "The lease is not held any more.")
 
 # Settings.
--- /dev/null
+++ b/basilwinch/standin/keyvalue.py
@@ -0,0 +1,333 @@
+"""Key-value service in memory, with faults and counters."""
+
+import bisect
+import collections
+from contextlib import asynccontextmanager
+
+import trio
+
+from basilwinch.exception import (
+    HISTORY_COMPACTED,
+    LEASE_LOST,
+    PLATFORM_AMBIGUOUS,
+    PLATFORM_REFUSED,
+    PLATFORM_UNAVAILABLE,
+    PlatformError,
+)
+from basilwinch.platform.interface import (
+    Compare,
+    KeyValue,
+    LeaseGrant,
+    Page,
+    Transaction,
+    WatchEvent,
+)
+
+__all__ = ["MAX_OPERATIONS", "MAX_VALUE_BYTES", "MemoryKeyValueStore"]
+
+MAX_VALUE_BYTES = 1_000_000
+# Default limit of etcd on the operations of one transaction.
+MAX_OPERATIONS = 128
+
+
+class _Lease:
+    __slots__ = ("ttl_s", "expires", "keys")
+
+    def __init__(self, ttl_s: float, expires: float, keys=()):
+        self.ttl_s = ttl_s
+        self.expires = expires
+        self.keys = set(keys)
+
+
+class MemoryKeyValueStore:
+    """A :class:`~basilwinch.platform.KeyValueStore` in memory, on trio's clock.
+
+    Each call waits ``latency_s`` (half before its effect, half after it). ``calls`` counts the
+    calls by kind; an open watch counts as one call, ``open_watches`` tells how many are open.
+
+    :param latency_s: seconds that a call takes without faults
+    :param kept_events: number of events kept for watches that start in the past
+    """
+
+    def __init__(self, latency_s: float = 0.002, kept_events: int = 10_000):
+        self.latency_s = latency_s
+        self.revision = 1
+        self.calls = collections.Counter()
+        self.open_watches = 0
+        self._slow_s = 0.0
+        self._down = False
+        self._lost_answers = 0
+        self._lost_requests = 0
+        self._epoch = 0
+        self._pairs: dict[str, KeyValue] = {}
+        self._keys: list[str] = []
+        self._leases: dict[int, _Lease] = {}
+        self._last_lease = 0
+        self._events = collections.deque(maxlen=kept_events)
+        self._event_count = 0
+        self._compacted = 0
+        self._changed = trio.Event()
+
+    # Faults.
+
+    def slow(self, seconds: float) -> None:
+        """Make each call take ``seconds`` longer; 0 ends the slowness."""
+        self._slow_s = seconds
+
+    def down(self) -> None:
+        """Refuse all calls and break open watches; calls past their effect lose their answer."""
+        self._down = True
+        self._epoch += 1
+        self._notify()
+
+    def up(self) -> None:
+        """End the outage. Leases whose time passed have expired."""
+        self._down = False
+
+    def lose_answers(self, count: int) -> None:
+        """Lose the answers of the next ``count`` writes after they took effect."""
+        self._lost_answers = count
+
+    def lose_requests(self, count: int) -> None:
+        """Lose the next ``count`` writes before they take effect; the caller cannot tell."""
+        self._lost_requests = count
+
+    def snapshot(self) -> tuple:
+        """Return the state for a later :meth:`restore`."""
+        leases = {lease: (held.ttl_s, frozenset(held.keys)) for lease, held in self._leases.items()}
+        return self.revision, dict(self._pairs), leases
+
+    def restore(self, snapshot: tuple) -> None:
+        """Go back to an older state, revision included, and break open watches.
+
+        Leases of the snapshot start their time to live anew, as in a restored etcd.
+        """
+        now = trio.current_time()
+        self.revision, pairs, leases = snapshot
+        self._pairs = dict(pairs)
+        self._keys = sorted(pairs)
+        self._leases = {
+            lease: _Lease(ttl_s, now + ttl_s, keys) for lease, (ttl_s, keys) in leases.items()
+        }
+        self._events.clear()
+        self._compacted = self.revision
+        self._epoch += 1
+        self._notify()
+
+    # Calls.
+
+    async def get(self, key: str) -> KeyValue | None:
+        """Return a key, or None."""
+        async with self._call("get", writes=False):
+            found = self._pairs.get(key)
+        return found
+
+    async def scan(self, prefix: str, limit: int = 1000, after: str = "") -> Page:
+        """Return keys with a prefix, in order, after the key ``after``."""
+        async with self._call("scan", writes=False):
+            start = bisect.bisect_left(self._keys, prefix)
+            if after >= prefix:
+                start = max(start, bisect.bisect_right(self._keys, after))
+            keys = self._keys[start : start + limit + 1]
+            keys = [key for key in keys if key.startswith(prefix)]
+            items = [self._pairs[key] for key in keys[:limit]]
+        return Page(items, len(keys) > limit)
+
+    async def transact(
+        self, compares: list[Compare], puts: list[KeyValue], deletes: list[str] = ()
+    ) -> Transaction:
+        """Apply all changes if all conditions hold, else none."""
+        self._check_sizes(compares, puts, deletes)
+        async with self._call("transact", writes=True):
+            outcome = self._transact(compares, puts, deletes)
+        return outcome
+
+    async def grant(self, ttl_s: float) -> LeaseGrant:
+        """Grant a lease."""
+        async with self._call("grant", writes=True):
+            self._last_lease += 1
+            lease = self._last_lease
+            self._leases[lease] = _Lease(ttl_s, trio.current_time() + ttl_s)
+            self._notify()
+        return LeaseGrant(lease, ttl_s)
+
+    async def keep_alive(self, lease: int) -> LeaseGrant:
+        """Renew a lease; raises ``PlatformError`` with ``LEASE_LOST`` if it has expired."""
+        async with self._call("keep_alive", writes=True):
+            held = self._held(lease)
+            held.expires = trio.current_time() + held.ttl_s
+        return LeaseGrant(lease, held.ttl_s)
+
+    async def revoke(self, lease: int) -> None:
+        """End a lease and delete its keys."""
+        async with self._call("revoke", writes=True):
+            self._held(lease)
+            self._end_lease(lease)
+
+    @asynccontextmanager
+    async def watch(self, prefix: str, from_revision: int = 0):
+        """Watch keys with a prefix, from a revision on (0 for now on).
+
+        :raises PlatformError: ``HISTORY_COMPACTED`` if older events are gone
+        """
+        async with self._call("watch", writes=False):
+            position = self._position(from_revision)
+            watch = _Watch(self, prefix, from_revision, position, self._epoch)
+        self.open_watches += 1
+        try:
+            yield watch
+        finally:
+            self.open_watches -= 1
+
+    # Internals.
+
+    @asynccontextmanager
+    async def _call(self, kind: str, writes: bool):
+        self.calls[kind] += 1
+        delay = (self.latency_s + self._slow_s) / 2
+        await trio.sleep(delay)
+        if self._down:
+            raise PlatformError(PLATFORM_UNAVAILABLE.because("the key-value service is down"))
+        if writes and self._lost_requests:
+            self._lost_requests -= 1
+            raise PlatformError(PLATFORM_AMBIGUOUS.because("the connection broke"))
+        self._expire()
+        lost = writes and self._lost_answers > 0
+        self._lost_answers -= lost
+        epoch = self._epoch
+        yield
+        await trio.sleep(delay)
+        if lost or epoch != self._epoch:
+            kind = PLATFORM_AMBIGUOUS if writes else PLATFORM_UNAVAILABLE
+            raise PlatformError(kind.because("the connection broke before the answer"))
+
+    @staticmethod
+    def _check_sizes(compares, puts, deletes):
+        if max(len(compares), len(puts) + len(deletes)) > MAX_OPERATIONS:
+            reason = f"a transaction takes at most {MAX_OPERATIONS} operations"
+            raise PlatformError(PLATFORM_REFUSED.because(reason))
+        for put in puts:
+            if len(put.value) > MAX_VALUE_BYTES:
+                reason = f"value of {put.key} has {len(put.value)} of {MAX_VALUE_BYTES} bytes"
+                raise PlatformError(PLATFORM_REFUSED.because(reason))
+
+    def _transact(self, compares, puts, deletes) -> Transaction:
+        for compare in compares:
+            found = self._pairs.get(compare.key)
+            if (found.mod_revision if found else 0) != compare.mod_revision:
+                return Transaction(False, self.revision)
+        for put in puts:
+            if put.lease:
+                self._held(put.lease)
+        deletes = [key for key in deletes if key in self._pairs]
+        if puts or deletes:
+            self.revision += 1
+        for key in deletes:
+            self._delete(key)
+        for put in puts:
+            self._put(put)
+        if puts or deletes:
+            self._notify()
+        return Transaction(True, self.revision)
+
+    def _put(self, put: KeyValue):
+        old = self._pairs.get(put.key)
+        if old is None:
+            bisect.insort(self._keys, put.key)
+        elif old.lease:
+            self._leases[old.lease].keys.discard(put.key)
+        if put.lease:
+            self._leases[put.lease].keys.add(put.key)
+        value = bytes(put.value)
+        self._pairs[put.key] = KeyValue(put.key, value, self.revision, put.lease)
+        self._append(WatchEvent(put.key, value, self.revision))
+
+    def _delete(self, key: str):
+        old = self._pairs.pop(key)
+        del self._keys[bisect.bisect_left(self._keys, key)]
+        if old.lease in self._leases:
+            self._leases[old.lease].keys.discard(key)
+        self._append(WatchEvent(key, None, self.revision))
+
+    def _append(self, event: WatchEvent):
+        if len(self._events) == self._events.maxlen:
+            self._compacted = max(self._compacted, self._events[0].mod_revision)
+        self._events.append(event)
+        self._event_count += 1
+
+    def _held(self, lease: int) -> _Lease:
+        held = self._leases.get(lease)
+        if held is None:
+            raise PlatformError(LEASE_LOST.because(f"lease {lease} has expired"))
+        return held
+
+    def _expire(self):
+        now = trio.current_time()
+        for lease in [lease for lease, held in self._leases.items() if held.expires <= now]:
+            self._end_lease(lease)
+
+    def _end_lease(self, lease: int):
+        keys = sorted(self._leases.pop(lease).keys)
+        if not keys:
+            return
+        self.revision += 1
+        for key in keys:
+            self._delete(key)
+        self._notify()
+
+    def _next_expiry(self) -> float:
+        return min((held.expires for held in self._leases.values()), default=float("inf"))
+
+    def _notify(self):
+        self._changed.set()
+        self._changed = trio.Event()
+
+    def _position(self, from_revision: int) -> int:
+        if not from_revision:
+            return self._event_count
+        if from_revision <= self._compacted:
+            reason = f"events up to revision {self._compacted} are gone"
+            raise PlatformError(HISTORY_COMPACTED.because(reason))
+        return self._event_count - len(self._events)
+
+
+class _Watch:
+    """Iterator over the events of one watch. A cancelled wait loses no event."""
+
+    __slots__ = ("_store", "_prefix", "_from", "_position", "_epoch")
+
+    def __init__(self, store, prefix: str, from_revision: int, position: int, epoch: int):
+        self._store = store
+        self._prefix = prefix
+        self._from = from_revision
+        self._position = position
+        self._epoch = epoch
+
+    def __aiter__(self):
+        return self
+
+    async def __anext__(self) -> WatchEvent:
+        store = self._store
+        await trio.lowlevel.checkpoint()
+        while True:
+            if self._epoch != store._epoch:
+                raise PlatformError(PLATFORM_UNAVAILABLE.because("the watch was broken"))
+            store._expire()
+            event = self._take()
+            if event is not None:
+                await trio.sleep(store._slow_s)
+                return event
+            with trio.move_on_at(store._next_expiry()):
+                await store._changed.wait()
+
+    def _take(self) -> WatchEvent | None:
+        store = self._store
+        first = store._event_count - len(store._events)
+        if self._position < first:
+            raise PlatformError(HISTORY_COMPACTED.because("the watch fell behind"))
+        while self._position < store._event_count:
+            event = store._events[self._position - first]
+            self._position += 1
+            if event.key.startswith(self._prefix) and event.mod_revision >= self._from:
+                return event
+        return None
--- /dev/null
+++ b/basilwinch/standin/weightstore.py
@@ -0,0 +1,31 @@
+"""Weight store that is rate-limited."""
+
+import trio
+
+__all__ = ["RateLimitedWeightStore"]
+
+
+class RateLimitedWeightStore:
+    """A :class:`~basilwinch.platform.WeightStore` that serves one fetch after another.
+
+    :param bytes_per_s: rate of the store, shared by all fetches
+
+    >>> RateLimitedWeightStore(1e9).fetch_cost(2_000_000_000)
+    2.0
+    """
+
+    def __init__(self, bytes_per_s: float):
+        self.bytes_per_s = bytes_per_s
+        self.fetched_bytes = 0
+        self._free_at = 0.0
+
+    def fetch_cost(self, size: int) -> float:
+        """Return the seconds that a fetch of ``size`` bytes takes at the store's rate."""
+        return size / self.bytes_per_s
+
+    async def fetch(self, size: int) -> None:
+        """Wait until a fetch of ``size`` bytes is done, behind the fetches before it."""
+        start = max(trio.current_time(), self._free_at)
+        self._free_at = start + self.fetch_cost(size)
+        await trio.sleep_until(self._free_at)
+        self.fetched_bytes += size
