--- a/basilwinch/platform/__init__.py
+++ b/basilwinch/platform/__init__.py
@@ -1,5 +1,6 @@
 """Interfaces of the platform: key-value service, list of VMs, weight store."""
 
+from basilwinch.platform.etcd import EtcdConfig, EtcdStore
 from basilwinch.platform.interface import (
     Compare,
     KeyValue,
@@ -16,6 +17,8 @@
 
 __all__ = [
     "Compare",
+    "EtcdConfig",
+    "EtcdStore",
     "KeyValue",
     "KeyValueStore",
     "LeaseGrant",
--- a/basilwinch/standin/keyvalue.py
+++ b/basilwinch/standin/keyvalue.py
@@ -119,8 +119,7 @@
     async def get(self, key: str) -> KeyValue | None:
         """Return a key, or None."""
         async with self._call("get", writes=False):
-            found = self._pairs.get(key)
-        return found
+            return self._pairs.get(key)
 
     async def scan(self, prefix: str, limit: int = 1000, after: str = "") -> Page:
         """Return keys with a prefix, in order, after the key ``after``."""
@@ -139,8 +138,7 @@
         """Apply all changes if all conditions hold, else none."""
         self._check_sizes(compares, puts, deletes)
         async with self._call("transact", writes=True):
-            outcome = self._transact(compares, puts, deletes)
-        return outcome
+            return self._transact(compares, puts, deletes)
 
     async def grant(self, ttl_s: float) -> LeaseGrant:
         """Grant a lease."""
