--- a/basilwinch/standin/batching.py
+++ b/basilwinch/standin/batching.py
@@ -138,16 +138,17 @@
     def _enqueue(self, group: list[Sequence], state: EngineState, epoch: int) -> None:
         if state.epoch != epoch or not state.alive:
             return
+        ready = state.ready
         for sequence in group:
             if sequence.ended:
                 continue
-            queue = state.ready.get(sequence.call.priority)
-            if queue is None:
-                queue = state.ready[sequence.call.priority] = deque()
-                state.ready = dict(sorted(state.ready.items(), reverse=True))
-            queue.append(sequence)
+            priority = sequence.call.priority
+            if priority not in ready:
+                ready[priority] = deque()
+                ready = state.ready = dict(sorted(ready.items(), reverse=True))
+            ready[priority].append(sequence)
             state.ready_count += 1
-        if not state.busy:
+        if not state.busy and state.ready_count:
             self._start_step(state)
 
     def _start_step(self, state: EngineState) -> None:
@@ -212,47 +213,45 @@
             if sequence.pending[index]:
                 again.append(sequence)
                 continue
-            if sequence.position == sequence.call.resume_from:
+            first_token = sequence.position == sequence.call.resume_from
+            if first_token:
                 if CRASH_MARK in sequence.call.prompt:
                     self.kill(state.name)
                     return
                 self.caches.store(state, sequence, now)
-            if index + 1 == len(sequence.spans):
+            index += 1
+            if index == len(sequence.engines):
                 done.append(sequence)
                 continue
-            sequence.index = index + 1
-            target = sequence.engines[index + 1]
-            key = (target, target.epoch)
-            if key in onward:
-                onward[key].append(sequence)
+            sequence.index = index
+            target = sequence.engines[index]
+            moved = sequence.pending[index] if first_token else 1
+            group = onward.get(target)
+            if group is None:
+                onward[target] = [[sequence], moved]
             else:
-                onward[key] = [sequence]
-        for (target, target_epoch), group in onward.items():
-            tokens = sum(self._moved_tokens(sequence) for sequence in group)
-            delay = self.network.transfer(state.name, target.name, tokens)
-            self.timeline.at(now + delay, self._enqueue, group, target, target_epoch)
+                group[0].append(sequence)
+                group[1] += moved
+        for target, (group, moved) in onward.items():
+            delay = self.network.transfer(state.name, target.name, moved)
+            self.timeline.at(now + delay, self._enqueue, group, target, target.epoch)
         if done:
             self._return_tokens(state, done, now)
         if again:
             self._enqueue(again, state, epoch)
-        self._sample_load(state, now)
+        if now - state.sampled_at >= self.settings.load_lag_s:
+            self._sample_load(state, now)
         if state.ready_count and not state.busy:
             self._start_step(state)
 
-    def _moved_tokens(self, sequence: Sequence) -> int:
-        if sequence.position > sequence.call.resume_from:
-            return 1
-        return sequence.pending[sequence.index]
-
     def _return_tokens(self, state: EngineState, done: list, now: float) -> None:
         """Send tokens from the last stage through the first ones to the callers."""
-        onward = {}
-        frames = {}
+        groups = {}
         for sequence in done:
             call = sequence.call
-            first = sequence.engines[0]
-            token = token_at(sequence.digest, sequence.position)
-            final = sequence.position + 1 >= call.max_tokens
+            position = sequence.position
+            token = token_at(sequence.digest, position)
+            final = position + 1 >= call.max_tokens
             load = ()
             if now >= sequence.next_load:
                 sequence.next_load = now + self.settings.load_every_s
@@ -262,25 +261,34 @@
             frame = TokenFrame(
                 call.request,
                 call.attempt,
-                sequence.position,
+                position,
                 token,
                 sequence.spans,
                 text_of(token),
                 final,
                 load,
             )
-            frames.setdefault((first.name, sequence.origin), []).append((sequence, frame))
-            sequence.position += 1
-            if final:
-                continue
-            sequence.index = 0
-            onward.setdefault((first, first.epoch), []).append(sequence)
-        for (first, origin), group in frames.items():
-            delay = self.network.delay(state.name, first) + self.network.delay(first, origin)
-            self.timeline.at(now + delay, self._deliver, group)
-        for (first, epoch), group in onward.items():
-            delay = self.network.transfer(state.name, first.name, len(group))
-            self.timeline.at(now + delay, self._enqueue, group, first, epoch)
+            sequence.position = position + 1
+            first = sequence.engines[0]
+            group = groups.get(first)
+            if group is None:
+                group = groups[first] = ([], {})
+            if not final:
+                sequence.index = 0
+                group[0].append(sequence)
+            frames = group[1].get(sequence.origin)
+            if frames is None:
+                group[1][sequence.origin] = [(sequence, frame)]
+            else:
+                frames.append((sequence, frame))
+        network = self.network
+        for first, (onward, by_origin) in groups.items():
+            back = now + network.transfer(state.name, first.name, len(onward))
+            if onward:
+                self.timeline.at(back, self._enqueue, onward, first, first.epoch)
+            for origin, frames in by_origin.items():
+                arrival = back + network.delay(first.name, origin)
+                self.timeline.at(arrival, self._deliver, frames)
 
     def _deliver(self, group: list) -> None:
         for sequence, frame in group:
@@ -303,8 +311,6 @@
         self.timeline.at(self.timeline.now + delay + back, partial(sequence.on_failure, failure))
 
     def _sample_load(self, state: EngineState, now: float) -> None:
-        if now - state.sampled_at < self.settings.load_lag_s:
-            return
         state.sampled_at = now
         state.published = state.sampled
         used = sum(
