Add the chain router

Change: sampled choice at each layer boundary, scored by stale load plus own work, measured speed and learnt link delay; flows from a maximum flow; rendezvous subset; affinity with bounded load; probes of slow and dead servers. Not measured yet.

--- /dev/null
+++ b/basilwinch/routing/__init__.py
@@ -0,0 +1,6 @@
+"""Choice of a chain for each request."""
+
+from basilwinch.routing.request import RouteChoice, RouteRequest, RoutingConfig
+from basilwinch.routing.router import ChainRouter
+
+__all__ = ["ChainRouter", "RouteChoice", "RouteRequest", "RoutingConfig"]
--- /dev/null
+++ b/basilwinch/routing/estimate.py
@@ -0,0 +1,223 @@
+"""What a node knows of servers and links, learnt from the frames that it carries."""
+
+from basilwinch.catalog import Server
+from basilwinch.pipeline import LoadReport, Stage
+
+__all__ = ["LinkEstimate", "LinkEstimates", "ServerEstimate", "StageEstimate"]
+
+# Weight of a new value in the moving averages of reports.
+_REPORT_WEIGHT = 0.5
+_SLOW_WEIGHT = 0.3
+_LINK_WEIGHT = 0.3
+_ZONE_WEIGHT = 0.02
+# Part of a full step that does not depend on the number of sequences, and the part of it that a
+# sequence waits for the step in progress. Both only shape the delay of a lightly loaded server.
+_FIXED_PART = 0.3
+_IDLE_PART = 0.6
+
+
+class ServerEstimate:
+    """Load and speed of one server as this node sees them.
+
+    :param server: entry of the catalog
+    """
+
+    __slots__ = (
+        "name",
+        "zone",
+        "tokens_per_s",
+        "own",
+        "reported",
+        "own_at_report",
+        "reported_at",
+        "slowness",
+        "avoided",
+        "probe_at",
+        "dead",
+        "deaths",
+        "leaving",
+        "isolated",
+        "seen_at",
+        "probing",
+        "entry",
+    )
+
+    def __init__(self, server: Server):
+        self.name = server.name
+        #: Sequences of this node whose chain includes the server.
+        self.own = 0
+        #: Average of the sequences that the server reported.
+        self.reported = 0.0
+        self.own_at_report = 0
+        self.reported_at = None
+        #: Measured time of a step over its nominal time.
+        self.slowness = 1.0
+        #: Whether requests are kept off because the server is slow.
+        self.avoided = False
+        #: When the next request may probe an avoided or dead server.
+        self.probe_at = 0.0
+        self.dead = False
+        self.deaths = 0
+        self.leaving = False
+        #: Number of isolated requests of this node on the server.
+        self.isolated = 0
+        #: When a frame last showed that the server runs.
+        self.seen_at = -1e9
+        #: Whether a probe was sent to the server since it was taken for dead.
+        self.probing = False
+        self.set_entry(server)
+
+    def set_entry(self, server: Server) -> None:
+        """Take over a changed entry of the catalog."""
+        self.entry = server
+        self.zone = server.zone
+        self.tokens_per_s = server.tokens_per_s or 1000.0
+
+    @property
+    def usable(self) -> bool:
+        """Whether ordinary requests may use the server."""
+        return not (self.dead or self.leaving or self.avoided or self.isolated)
+
+    @property
+    def load(self) -> float:
+        """Estimated number of sequences at the server: stale report plus own work since then."""
+        return max(0.0, self.reported + self.own - self.own_at_report)
+
+    def absorb(self, report: LoadReport, layers: int, max_batch: int, now: float) -> float | None:
+        """Take in a load report.
+
+        :param layers: layers of the stage that the report came with
+        :returns: the measured time of a step over its nominal time, if the report tells
+        """
+        count = report.queued + report.running
+        if self.reported_at is None:
+            self.reported = float(count)
+        else:
+            self.reported += (count - self.reported) * _REPORT_WEIGHT
+        self.own_at_report = self.own
+        self.reported_at = now
+        if report.running and report.step_s > 0:
+            full = _FIXED_PART * max_batch + (1 - _FIXED_PART) * report.running
+            ratio = min(100.0, max(0.1, report.step_s * self.tokens_per_s / (layers * full)))
+            self.slowness += (ratio - self.slowness) * _SLOW_WEIGHT
+            return ratio
+        return None
+
+
+class StageEstimate:
+    """A stage with the estimate of its server.
+
+    :param stage: the stage
+    :param server: estimate of its server
+    :param max_batch: sequences in a full batch
+    """
+
+    __slots__ = ("stage", "end", "server", "layers", "layer_s", "idle", "flow")
+
+    def __init__(self, stage: Stage, server: ServerEstimate, max_batch: int):
+        self.stage = stage
+        self.end = stage.end
+        self.server = server
+        self.layers = stage.end - stage.first
+        self.refresh()
+        self.idle = _IDLE_PART * max_batch
+        #: Tokens a second that the stage carries in a maximum flow.
+        self.flow = 0.0
+
+    def refresh(self) -> None:
+        """Take over a changed speed of the server."""
+        #: Seconds of one sequence in a full batch.
+        self.layer_s = self.layers / self.server.tokens_per_s
+
+    @property
+    def rate(self) -> float:
+        """Tokens a second at a full batch; nominal unless the server is known to be slow."""
+        slowness = self.server.slowness if self.server.avoided else 1.0
+        return 1.0 / (self.layer_s * max(1.0, slowness))
+
+    def delay(self) -> float:
+        """Return the expected seconds of one token in this stage, waiting included."""
+        server = self.server
+        load = server.reported + server.own - server.own_at_report
+        if load < 0.0:
+            load = 0.0
+        return (self.idle + load) * self.layer_s * server.slowness
+
+
+class LinkEstimate:
+    """Delay of one link; ``zones`` are the zones of its ends."""
+
+    __slots__ = ("delay_s", "seen_at", "zones")
+
+    def __init__(self, delay_s: float, zones: tuple[str, str]):
+        self.delay_s = delay_s
+        self.seen_at = None
+        self.zones = zones
+
+
+class LinkEstimates:
+    """Delays of links, learnt from the gaps between tokens.
+
+    A gap is the sum of the stages' and links' delays. What the stages do not explain is shared
+    out over the links of the chain in small steps (normalised least mean squares). A link that is
+    not to blame is corrected by the other chains that use it.
+
+    :param limit: links kept at most; the oldest goes first
+    :param half_life_s: time after which half of a link's excess over its zones' average is forgotten
+    """
+
+    __slots__ = ("_links", "_zones", "_limit", "_half_life_s")
+
+    def __init__(self, limit: int, half_life_s: float):
+        self._links = {}
+        self._zones = {}
+        self._limit = limit
+        self._half_life_s = half_life_s
+
+    def __len__(self):
+        return len(self._links)
+
+    def prior(self, zones: tuple[str, str]) -> float:
+        """Return the average delay of links between two zones, in seconds."""
+        delay = self._zones.get(zones)
+        if delay is None:
+            delay = self._zones[zones] = 0.0002 if zones[0] == zones[1] else 0.001
+        return delay
+
+    def delay(self, source: ServerEstimate, target: ServerEstimate, now: float) -> float:
+        """Return the expected delay of a link in seconds."""
+        link = self._links.get((source.name, target.name))
+        if link is None:
+            return self.prior((source.zone, target.zone))
+        prior = self.prior(link.zones)
+        age = now - link.seen_at
+        if age < 1.0:
+            return link.delay_s
+        return prior + (link.delay_s - prior) * 0.5 ** (age / self._half_life_s)
+
+    def find(self, source: ServerEstimate, target: ServerEstimate, now: float) -> LinkEstimate:
+        """Return the estimate of a link, made if there is none."""
+        key = (source.name, target.name)
+        link = self._links.get(key)
+        if link is None:
+            zones = (source.zone, target.zone)
+            link = self._links[key] = LinkEstimate(self.prior(zones), zones)
+            if len(self._links) > self._limit:
+                del self._links[next(iter(self._links))]
+        else:
+            link.delay_s = self.delay(source, target, now)
+        link.seen_at = now
+        return link
+
+    def learn(self, links, unexplained_s: float, now: float) -> None:
+        """Correct the links of a chain.
+
+        :param unexplained_s: measured gap less the delay of the stages, seconds
+        """
+        error = unexplained_s - sum(link.delay_s for link in links)
+        step = _LINK_WEIGHT * error / len(links)
+        for link in links:
+            link.delay_s = max(0.0, link.delay_s + step)
+            link.seen_at = now
+            prior = self.prior(link.zones)
+            self._zones[link.zones] = prior + (link.delay_s - prior) * _ZONE_WEIGHT
--- /dev/null
+++ b/basilwinch/routing/graph.py
@@ -0,0 +1,153 @@
+"""Chains of a model as paths over layer boundaries."""
+
+from bisect import bisect_left
+from collections import defaultdict, deque
+from itertools import accumulate
+from zlib import crc32
+
+from basilwinch.routing.estimate import StageEstimate
+
+__all__ = ["Boundary", "StageGraph"]
+
+_RING_POINTS = 8
+
+
+class Boundary:
+    """Stages that start at one layer and from which the last layer can be reached.
+
+    :param stages: list of :class:`~basilwinch.routing.estimate.StageEstimate`
+    """
+
+    __slots__ = ("stages", "weights", "total", "remaining_s", "_ring", "_ring_stages")
+
+    def __init__(self, stages: list[StageEstimate]):
+        self.stages = stages
+        self.weights = list(accumulate(max(stage.flow, 1e-9) for stage in stages))
+        self.total = self.weights[-1]
+        #: Expected seconds from this boundary to the end of the chain, learnt from choices.
+        self.remaining_s = 0.0
+        points = sorted(
+            (crc32(f"{stage.stage.server}/{number}".encode()), index)
+            for index, stage in enumerate(stages)
+            for number in range(_RING_POINTS)
+        )
+        self._ring = [point for point, _ in points]
+        self._ring_stages = [stages[index] for _, index in points]
+
+    def sample(self, rng) -> StageEstimate:
+        """Return a random stage, in proportion to the flows. Logarithmic in the stages."""
+        return self.stages[bisect_left(self.weights, rng.random() * self.total)]
+
+    def homes(self, digest: int, count: int) -> list[StageEstimate]:
+        """Return the first stages on the hash ring for a cache key, the same on every node.
+
+        :param digest: CRC-32 of the cache key
+        """
+        start = bisect_left(self._ring, digest)
+        found = []
+        for offset in range(min(len(self._ring), 4 * count)):
+            stage = self._ring_stages[(start + offset) % len(self._ring)]
+            if stage not in found:
+                found.append(stage)
+                if len(found) == count:
+                    break
+        return found
+
+
+class StageGraph:
+    """Layer boundaries of one model, joined by stages.
+
+    :param layers: number of layers
+    :param stages: list of :class:`~basilwinch.routing.estimate.StageEstimate`
+    """
+
+    __slots__ = ("layers", "boundaries", "flow", "stages")
+
+    def __init__(self, layers: int, stages: list[StageEstimate]):
+        self.layers = layers
+        self.stages = _connected(layers, stages)
+        #: Tokens a second that the stages can carry together.
+        self.flow = _assign_flows(layers, self.stages)
+        by_first = defaultdict(list)
+        for stage in self.stages:
+            by_first[stage.stage.first].append(stage)
+        self.boundaries = {first: Boundary(group) for first, group in by_first.items()}
+        self._set_remaining()
+
+    @property
+    def complete(self) -> bool:
+        """Whether there is a chain over all layers."""
+        return 0 in self.boundaries
+
+    def _set_remaining(self) -> None:
+        remaining = {self.layers: 0.0}
+        for first in sorted(self.boundaries, reverse=True):
+            boundary = self.boundaries[first]
+            total = sum(max(stage.flow, 1e-9) for stage in boundary.stages)
+            boundary.remaining_s = remaining[first] = (
+                sum(
+                    max(stage.flow, 1e-9) * (stage.delay() + remaining[stage.end])
+                    for stage in boundary.stages
+                )
+                / total
+            )
+
+
+def _connected(layers: int, stages: list[StageEstimate]) -> list[StageEstimate]:
+    """Return the stages that lie on a path from the first layer to the last."""
+    from_start = {0}
+    for stage in sorted(stages, key=lambda stage: stage.stage.first):
+        if stage.stage.first in from_start:
+            from_start.add(stage.end)
+    to_end = {layers}
+    for stage in sorted(stages, key=lambda stage: stage.end, reverse=True):
+        if stage.end in to_end:
+            to_end.add(stage.stage.first)
+    return [stage for stage in stages if stage.stage.first in from_start and stage.end in to_end]
+
+
+def _assign_flows(layers: int, stages: list[StageEstimate]) -> float:
+    """Give each stage its part of a maximum flow and return the value of the flow.
+
+    Notes: shortest augmenting paths (Edmonds and Karp 1972) over one edge for each layer range, so the
+    cost depends on the number of distinct ranges, not on the number of servers.
+    """
+    ranges = defaultdict(list)
+    for stage in stages:
+        stage.flow = 0.0
+        ranges[stage.stage.first, stage.end].append(stage)
+    capacity = {edge: sum(stage.rate for stage in members) for edge, members in ranges.items()}
+    residual = defaultdict(dict)
+    for (first, end), rate in capacity.items():
+        residual[first][end] = rate
+        residual[end].setdefault(first, 0.0)
+    total = 0.0
+    while path := _find_path(residual, layers):
+        amount = min(residual[first][end] for first, end in path)
+        for first, end in path:
+            residual[first][end] -= amount
+            residual[end][first] = residual[end].get(first, 0.0) + amount
+        total += amount
+    for (first, end), members in ranges.items():
+        flow = capacity[first, end] - residual[first][end]
+        for stage in members:
+            stage.flow = max(0.0, flow) * stage.rate / capacity[first, end]
+    return total
+
+
+def _find_path(residual, layers: int) -> list[tuple[int, int]]:
+    before = {0: None}
+    queue = deque([0])
+    while queue:
+        at = queue.popleft()
+        if at == layers:
+            path = []
+            while before[at] is not None:
+                path.append((before[at], at))
+                at = before[at]
+            return path[::-1]
+        for onward, rate in residual[at].items():
+            if rate > 1e-6 and onward not in before:
+                before[onward] = at
+                queue.append(onward)
+    return []
--- /dev/null
+++ b/basilwinch/routing/subset.py
@@ -0,0 +1,41 @@
+"""The part of a large fleet that one node uses."""
+
+from collections import defaultdict
+from hashlib import blake2b
+
+from basilwinch.pipeline import Stage
+
+__all__ = ["choose_subset", "rendezvous_score"]
+
+
+def rendezvous_score(node: str, server: str) -> int:
+    """Return the score of a server for a node; the highest ones are used.
+
+    Notes: highest random weight hashing (Thaler and Ravishankar 1998). A server that joins or leaves
+    changes the subset of few nodes.
+    """
+    return int.from_bytes(blake2b(f"{node}\0{server}".encode(), digest_size=8).digest(), "big")
+
+
+def choose_subset(node: str, stages, limit: int, scores: dict[str, int]) -> list[Stage]:
+    """Return at most about ``limit`` stages, the same share of each layer range.
+
+    :param stages: stages of one model
+    :param limit: stages wanted at most; each layer range keeps at least one
+    :param scores: cache of scores by server
+    :returns: the subset. Linear in the number of stages, with a sort in each layer range.
+    """
+    stages = list(stages)
+    if len(stages) <= limit:
+        return stages
+    ranges = defaultdict(list)
+    for stage in stages:
+        if stage.server not in scores:
+            scores[stage.server] = rendezvous_score(node, stage.server)
+        ranges[stage.first, stage.end].append(stage)
+    share = limit / len(stages)
+    chosen = []
+    for members in ranges.values():
+        members.sort(key=lambda stage: scores[stage.server], reverse=True)
+        chosen.extend(members[: max(1, round(len(members) * share))])
+    return chosen
