Add the first placement planner

Groups of about 40 servers of one region share segment boundaries; a local search raises the rate of the slowest segment by moving servers, swapping them and shifting layers.

--- a/basilwinch/placement/__init__.py
+++ b/basilwinch/placement/__init__.py
@@ -1,5 +1,15 @@
 """Placement of model layers on servers: the bound, the planner and the executor of orders."""
 
 from basilwinch.placement.bound import Bound, Workload, bound_of_fleet, bound_of_placements
+from basilwinch.placement.planner import Plan, Planner, PlannerConfig, changed_servers
 
-__all__ = ["Bound", "Workload", "bound_of_fleet", "bound_of_placements"]
+__all__ = [
+    "Bound",
+    "Plan",
+    "Planner",
+    "PlannerConfig",
+    "Workload",
+    "bound_of_fleet",
+    "bound_of_placements",
+    "changed_servers",
+]
