Balance bundled models layer by layer and search on from local optima

Bundles scaled one list of boundaries for models of different depth; the rounding cost up to a quarter of the rate with five models on 33 servers. Each segment now counts layers by model and the search shifts layers of single models. Random swaps continue the search from a local optimum.

--- a/basilwinch/placement/group.py
+++ b/basilwinch/placement/group.py
@@ -3,14 +3,18 @@
 from collections import defaultdict
 
 from basilwinch.placement.bound import Workload, bound_of_fleet
-from basilwinch.placement.layout import Bundle, Layout, Rates, Segment
-from basilwinch.placement.search import find_layout
+from basilwinch.placement.layout import Bundle, Layout, Segment
+from basilwinch.placement.search import find_layout, shake
 from basilwinch.record import Record
 
 __all__ = ["Group", "divide_models", "divide_servers", "layout_of", "plan_group"]
 
 # A slice of a model below this part of a group costs a copy of its weights for next to no requests.
 LEAST_SLICE = 0.03
+# Search ends at this part of the bound.
+GOOD_ENOUGH = 0.985
+# Models of a group that are bundled freely.
+MOST_UNITS = 5
 
 
 class Group(Record):
@@ -19,7 +23,7 @@
     :param region: region of its servers, empty if they are of several
     :param mix: tuple of (model, share) pairs; shares add up to 1
     :param bundles: tuple of tuples of model names that share boundaries
-    :param segments: tuple of (bundle index, length, tuple of server names)
+    :param segments: tuple of (bundle index, layers by model, tuple of server names)
     :param idle: names of servers that hold nothing because nothing fits them
     """
 
@@ -41,7 +45,7 @@
             fields["region"],
             tuple((name, share) for name, share in fields["mix"]),
             tuple(tuple(names) for names in fields["bundles"]),
-            tuple((bundle, length, tuple(names)) for bundle, length, names in fields["segments"]),
+            tuple((bundle, tuple(n), tuple(names)) for bundle, n, names in fields["segments"]),
             tuple(fields["idle"]),
         )
 
@@ -105,11 +109,12 @@
     return {name: share / total for name, share in mix.items()}
 
 
-def plan_group(servers, mix, models, workload, config, rng) -> Group | None:
+def plan_group(servers, mix, models, workload, config, kicks, rng) -> Group | None:
     """Plan a group from nothing.
 
     :param servers: its servers
     :param mix: dict of shares by model
+    :param kicks: rounds of search after the first local optimum
     :returns: the group, or None if its servers cannot hold every layer of every model
     """
     own = workload.replace(demand=mix)
@@ -118,20 +123,27 @@
         return None
     for reserve in dict.fromkeys((config.zone_reserve, 0.0)):
         best, best_rate = None, 0.0
-        for bundles in _bundlings(servers, mix, models, target):
-            layout = _find(servers, bundles, mix, models, own, config, reserve, target, rng)
+        chosen = config.replace(zone_reserve=reserve)
+        for names in _partitions(mix, models):
+            if len(names) * 4 > max(len(servers), 4):
+                continue
+            bundles = _bundles(names, mix, models, own, config)
+            layout = find_layout(servers, bundles, chosen, target, rng)
             if min(layout.values, default=0.0) > 0 and layout.plain_rate() > best_rate:
-                best, best_rate = (bundles, layout), layout.plain_rate()
-            if best_rate >= 0.97 * target:
+                best, best_rate = (names, layout), layout.plain_rate()
+            if best_rate >= GOOD_ENOUGH * target:
                 break
         if best is not None:
-            return group_of(best[1], _region(servers), mix, best[0])
+            layout = shake(best[1], chosen, kicks, target, rng)
+            return group_of(layout, _region(servers), mix, best[0])
     return None
 
 
-def _find(servers, bundles, mix, models, workload, config, reserve, target, rng):
-    values = [Bundle([(models[n], mix[n]) for n in names], workload) for names in bundles]
-    return find_layout(servers, values, config.replace(zone_reserve=reserve), target, rng)
+def _bundles(names_by_bundle, mix, models, workload, config) -> list[Bundle]:
+    return [
+        Bundle([(models[n], mix[n]) for n in names], workload, config.cache_part)
+        for names in names_by_bundle
+    ]
 
 
 def _region(servers) -> str:
@@ -139,25 +151,24 @@
     return regions.pop() if len(regions) == 1 else ""
 
 
-def _bundlings(servers, mix, models, target):
-    """Yield ways to bundle the models: none, the small ones together, all in one."""
-    names = sorted(mix, key=lambda name: (-mix[name], name))
-    if len(servers) >= 4 * len(names):
-        yield tuple((name,) for name in names)
-    if len(names) == 1:
-        if len(servers) < 4:
-            yield (tuple(names),)
-        return
-    work = {name: mix[name] * models[name].layers for name in names}
-    total = sum(work.values())
-    # A model with work for less than this part of the group cannot fill two servers per segment.
-    small = tuple(name for name in names if work[name] < 0.25 * total)
-    big = tuple(name for name in names if name not in small)
-    if len(small) > 1 and big:
-        yield tuple((name,) for name in big) + (small,)
-    if small and big:
-        yield tuple((name,) for name in big[1:]) + ((big[0], *small),)
-    yield (tuple(names),)
+def _partitions(mix, models) -> list[tuple]:
+    """Return the ways to bundle the models, the most bundles first.
+
+    With more than ``MOST_UNITS`` models, those with the least work stay together, because the
+    number of partitions grows as the Bell numbers (52 for five).
+    """
+    names = sorted(mix, key=lambda name: (-mix[name] * models[name].layers, name))
+    units = [(name,) for name in names[: MOST_UNITS - 1]]
+    if names[MOST_UNITS - 1 :]:
+        units.append(tuple(names[MOST_UNITS - 1 :]))
+    found: list[tuple] = [()]
+    for unit in units:
+        found = [
+            bundles[:i] + (bundles[i] + unit,) + bundles[i + 1 :]
+            for bundles in found
+            for i in range(len(bundles))
+        ] + [(*bundles, unit) for bundles in found]
+    return sorted(found, key=len, reverse=True)
 
 
 def group_of(layout: Layout, region: str, mix, bundles) -> Group:
@@ -172,21 +183,19 @@
     )
 
 
-def layout_of(group: Group, servers, models, workload: Workload, config, reserve=None) -> Layout:
+def layout_of(group: Group, servers, models, workload: Workload, config) -> Layout:
     """Return the layout of a group with the servers that are left of it.
 
     :param servers: dict of the usable servers by name
     """
     mix = dict(group.mix)
     own = workload.replace(demand=mix)
-    bundles = [Bundle([(models[n], mix[n]) for n in names], own) for names in group.bundles]
+    bundles = _bundles(group.bundles, mix, models, own, config)
     present = [servers[name] for name in group.servers if name in servers]
     zones = {server.zone for server in present}
-    if reserve is None:
-        reserve = config.zone_reserve if len(zones) > 1 else 0.0
-    rates = Rates(bundles, config.cache_part)
-    segments = [Segment(bundle, length) for bundle, length, _ in group.segments]
-    layout = Layout(present, rates, segments, reserve)
+    reserve = config.zone_reserve if len(zones) > 1 else 0.0
+    segments = [Segment(bundle, lengths) for bundle, lengths, _ in group.segments]
+    layout = Layout(present, bundles, segments, reserve)
     for index, (_, _, names) in enumerate(group.segments):
         layout.place(index, [servers[name] for name in names if name in servers])
     return layout
--- a/basilwinch/placement/layout.py
+++ b/basilwinch/placement/layout.py
@@ -5,79 +5,58 @@
 from basilwinch.pipeline import Stage
 from basilwinch.record import Record
 
-__all__ = ["Bundle", "Layout", "Rates", "Segment"]
+__all__ = ["Bundle", "Layout", "Segment", "round_spans"]
 
 
 class Bundle:
-    """Models that share segment boundaries, so that one server holds a part of each.
+    """Models whose parts lie on the same servers.
 
     Models with few requests are bundled because a server of their own would stand idle.
-    Boundaries are counted in layers of the deepest model and scaled for the others.
 
     :param models: tuple of (model, share of tokens) pairs
     :param workload: :class:`~basilwinch.placement.Workload`, for the size of the KV cache
+    :param cache_part: part of the memory of a server that stays free of weights
     """
 
-    __slots__ = ("models", "layers", "work", "kv_per_rate")
+    __slots__ = ("models", "shares", "weights", "kv_per_rate", "cache_part", "_rates")
 
-    def __init__(self, models, workload):
-        self.models = tuple(models)
-        self.layers = max(model.layers for model, _ in self.models)
-        total = sum(share * model.layers for model, share in self.models)
-        # Layer tokens that one boundary layer costs for one token a second of the whole mix.
-        self.work = total / self.layers
-        cached = sum(s * m.layers * workload.kv_bytes_per_rate(m) for m, s in self.models)
+    def __init__(self, models, workload, cache_part: float):
+        self.models = tuple(model for model, _ in models)
+        self.shares = tuple(share for _, share in models)
+        self.weights = tuple(model.weight_bytes_per_layer for model in self.models)
+        total = sum(share * model.layers for model, share in models)
+        cached = sum(s * m.layers * workload.kv_bytes_per_rate(m) for m, s in models)
         self.kv_per_rate = cached / total
-
-    def weight_bytes(self, length: int) -> int:
-        """Return the weights of a segment, at most, for any position of it."""
-        return sum(
-            model.weight_bytes_per_layer * math.ceil(length * model.layers / self.layers)
-            for model, _ in self.models
-        )
-
-    def layers_of(self, model, first: int, end: int) -> tuple[int, int]:
-        """Return the layer range of one model for a range of boundaries."""
-        return first * model.layers // self.layers, end * model.layers // self.layers
+        self.cache_part = cache_part
+        self._rates: dict[tuple, float] = {}
+
+    def work_of(self, lengths) -> float:
+        """Return layer tokens that one token of the mix costs in a segment."""
+        return sum(map(float.__mul__, self.shares, map(float, lengths)))
+
+    def weight_of(self, lengths) -> int:
+        """Return bytes of weights of a segment."""
+        return sum(map(int.__mul__, self.weights, lengths))
+
+    def rate(self, server, weight: int) -> float:
+        """Return layer tokens a second of a server that holds weights of a size; 0 if too large."""
+        key = (server.tokens_per_s, server.memory_bytes, weight)
+        rate = self._rates.get(key)
+        if rate is None:
+            room = server.memory_bytes - weight
+            rate = server.tokens_per_s
+            if weight and room < server.memory_bytes * self.cache_part:
+                rate = 0.0
+            elif self.kv_per_rate:
+                rate = min(rate, room / self.kv_per_rate)
+            self._rates[key] = rate
+        return rate
 
 
 class Segment(Record):
-    """A run of ``length`` boundary layers of the bundle with index ``bundle``."""
+    """Parts of the models of the bundle with index ``bundle``; ``lengths`` is in layers by model."""
 
-    __slots__ = ("bundle", "length")
-
-
-class Rates:
-    """Rate that a server reaches when it holds a segment, by class of server.
-
-    :param bundles: list of bundles
-    :param cache_part: part of the memory that stays free of weights
-    """
-
-    __slots__ = ("bundles", "cache_part", "_weights", "_by_class")
-
-    def __init__(self, bundles, cache_part: float):
-        self.bundles = bundles
-        self.cache_part = cache_part
-        self._weights = [[b.weight_bytes(n) for n in range(b.layers + 1)] for b in bundles]
-        self._by_class: dict[tuple, list[list[float]]] = {}
-
-    def of(self, server) -> list[list[float]]:
-        """Return layer tokens a second by bundle and length; 0 where the weights do not fit."""
-        key = (server.tokens_per_s, server.memory_bytes)
-        rates = self._by_class.get(key)
-        if rates is None:
-            rates = self._by_class[key] = [
-                [self._rate(*key, bundle, weight) for weight in weights]
-                for bundle, weights in zip(self.bundles, self._weights, strict=True)
-            ]
-        return rates
-
-    def _rate(self, rate, memory, bundle, weight) -> float:
-        room = memory - weight
-        if weight and room < memory * self.cache_part:
-            return 0.0
-        return min(rate, room / bundle.kv_per_rate) if bundle.kv_per_rate else rate
+    __slots__ = ("bundle", "lengths")
 
 
 class Layout:
@@ -88,72 +67,102 @@
     search for a larger least value also spreads each segment over zones.
 
     :param servers: list of servers of the group
-    :param rates: :class:`Rates`
+    :param bundles: list of :class:`Bundle`
     :param segments: list of :class:`Segment`
     :param reserve: part of the rate that the loss of any zone must leave
     """
 
-    __slots__ = ("servers", "rates", "lengths", "bundle_of", "members", "reserve", "values", "_of")
+    __slots__ = ("servers", "bundles", "lengths", "bundle_of", "members", "reserve", "values")
 
-    def __init__(self, servers, rates: Rates, segments, reserve: float):
+    def __init__(self, servers, bundles, segments, reserve: float):
         self.servers = {server.name: server for server in servers}
-        self.rates = rates
-        self.lengths = [segment.length for segment in segments]
+        self.bundles = bundles
+        self.lengths = [segment.lengths for segment in segments]
         self.bundle_of = [segment.bundle for segment in segments]
         self.members: list[list] = [[] for _ in segments]
         self.reserve = reserve
         self.values = [0.0] * len(segments)
-        self._of = {server.name: rates.of(server) for server in servers}
-
-    def rate(self, server, segment: int, length: int | None = None) -> float:
-        """Return the rate of a server in a segment, optionally of another length."""
-        length = self.lengths[segment] if length is None else length
-        return self._of[server.name][self.bundle_of[segment]][length]
 
-    def value_with(self, segment: int, members, length: int | None = None) -> float:
-        """Return the value of a segment with other members or another length."""
-        length = self.lengths[segment] if length is None else length
-        if length <= 0 or not members:
+    def rate(self, server, segment: int) -> float:
+        """Return the layer tokens a second of a server in a segment."""
+        bundle = self.bundles[self.bundle_of[segment]]
+        return bundle.rate(server, bundle.weight_of(self.lengths[segment]))
+
+    def value_with(self, segment: int, members, lengths=None, reserve=None) -> float:
+        """Return the value of a segment with other members, lengths or reserve."""
+        bundle = self.bundles[self.bundle_of[segment]]
+        lengths = self.lengths[segment] if lengths is None else lengths
+        reserve = self.reserve if reserve is None else reserve
+        weight = bundle.weight_of(lengths)
+        if not weight or not members:
             return 0.0
-        bundle = self.bundle_of[segment]
-        of = self._of
         total, by_zone = 0.0, {}
         for server in members:
-            rate = of[server.name][bundle][length]
+            rate = bundle.rate(server, weight)
             total += rate
             by_zone[server.zone] = by_zone.get(server.zone, 0.0) + rate
-        if self.reserve:
-            total = min(total, (total - max(by_zone.values())) / self.reserve)
-        return total / (self.rates.bundles[bundle].work * length)
-
-    def place(self, segment: int, members, length: int | None = None) -> None:
-        """Set the members of a segment, optionally with a new length."""
-        if length is not None:
-            self.lengths[segment] = length
+        if reserve:
+            total = min(total, (total - max(by_zone.values())) / reserve)
+        return total / bundle.work_of(lengths)
+
+    def place(self, segment: int, members, lengths=None) -> None:
+        """Set the members of a segment, optionally with new lengths."""
+        if lengths is not None:
+            self.lengths[segment] = lengths
         self.members[segment] = members
         self.values[segment] = self.value_with(segment, members)
 
+    def copy(self) -> "Layout":
+        """Return a copy that can be changed on its own."""
+        segments = map(Segment, self.bundle_of, self.lengths)
+        other = Layout(self.servers.values(), self.bundles, list(segments), self.reserve)
+        other.members = [list(members) for members in self.members]
+        other.values = list(self.values)
+        return other
+
+    def relax(self) -> None:
+        """Drop the reserve, for groups that cannot keep it."""
+        self.reserve = 0.0
+        for segment, members in enumerate(self.members):
+            self.place(segment, members)
+
     def plain_rate(self) -> float:
         """Return the rate of the mix that the layout carries while all servers live."""
-        rate = math.inf
-        for index, members in enumerate(self.members):
-            total = sum(self.rate(server, index) for server in members)
-            bundle = self.rates.bundles[self.bundle_of[index]]
-            rate = min(rate, total / (bundle.work * self.lengths[index]))
-        return 0.0 if rate is math.inf else rate
+        rates = (self.value_with(i, members, None, 0.0) for i, members in enumerate(self.members))
+        return min(rates, default=0.0)
 
     def stages(self) -> dict[str, list[Stage]]:
         """Return the stages by model name; segments of a bundle follow each other in order."""
         found: dict[str, list[Stage]] = {}
-        position = [0] * len(self.rates.bundles)
-        for index, length in enumerate(self.lengths):
+        position = [[0] * len(bundle.models) for bundle in self.bundles]
+        for index, lengths in enumerate(self.lengths):
             number = self.bundle_of[index]
-            bundle = self.rates.bundles[number]
-            first, end = position[number], position[number] + length
-            position[number] = end
-            for model, _ in bundle.models:
-                low, high = bundle.layers_of(model, first, end)
-                if low < high:
+            holders = [s.name for s in self.members[index] if self.rate(s, index) > 0]
+            for place, (model, length) in enumerate(
+                zip(self.bundles[number].models, lengths, strict=True)
+            ):
+                first = position[number][place]
+                position[number][place] = first + length
+                if length:
                     stages = found.setdefault(model.name, [])
-                    stages.extend(Stage(server.name, low, high) for server in self.members[index])
+                    stages.extend(Stage(name, first, first + length) for name in holders)
         return found
+
+
+def round_spans(spans, total: int, least: int = 0) -> tuple[int, ...]:
+    """Round spans to integers with a given sum, the largest remainders up.
+
+    :param least: least value of each, if the sum allows it
+
+    >>> round_spans([1.5, 1.5, 3.0], 6)
+    (2, 1, 3)
+    """
+    scale = total / sum(spans)
+    exact = [span * scale for span in spans]
+    lengths = [max(least, math.floor(value)) for value in exact]
+    order = sorted(range(len(spans)), key=lambda i: lengths[i] - exact[i])
+    for index in range(total - sum(lengths)):
+        lengths[order[index % len(order)]] += 1
+    while sum(lengths) > total:
+        lengths[lengths.index(max(lengths))] -= 1
+    return tuple(lengths)
--- a/basilwinch/placement/planner.py
+++ b/basilwinch/placement/planner.py
@@ -29,6 +29,7 @@
     :param cache_part: part of each server's memory that stays free of weights
     :param zone_reserve: part of the rate of each segment that stays after the loss of any zone
     :param steps: changes tried from each start of the search
+    :param kicks: rounds of search after the first local optimum, shared by the groups
     :param max_moves: servers of a group that may get another layer range in one replan
     :param min_gain: least relative gain in rate for each moved server
     :param rebuild_below: part of the rate of a fresh plan of a group below which it is taken
@@ -39,6 +40,7 @@
         "cache_part",
         "zone_reserve",
         "steps",
+        "kicks",
         "max_moves",
         "min_gain",
         "rebuild_below",
@@ -48,6 +50,7 @@
         "cache_part": 0.1,
         "zone_reserve": 0.34,
         "steps": 300,
+        "kicks": 60,
         "max_moves": 4,
         "min_gain": 0.02,
         "rebuild_below": 0.5,
@@ -102,7 +105,8 @@
         mixes = divide_models(divided, models, workload) if workload.demand else []
         groups = []
         for members, mix in zip(divided, mixes, strict=False):
-            group = self._plan_group(members, mix, models, workload) if mix else None
+            kicks = max(2, self._config.kicks // len(divided))
+            group = self._plan_group(members, mix, models, workload, kicks) if mix else None
             groups.append(group or _idle_group(members, mix))
         groups = self._cover(groups, usable, models, workload)
         return self._finish(groups, usable, models, workload, versions, "fresh")
@@ -134,8 +138,8 @@
         adapted = self._cover(adapted, usable, models, workload)
         return self._finish(adapted, usable, models, workload, versions, "replan")
 
-    def _plan_group(self, members, mix, models, workload) -> Group | None:
-        return plan_group(members, mix, models, workload, self._config, self._rng)
+    def _plan_group(self, members, mix, models, workload, kicks=2) -> Group | None:
+        return plan_group(members, mix, models, workload, self._config, kicks, self._rng)
 
     def _adapt(self, group, joined, usable, models, workload) -> Group:
         """Fill the gaps of a group; plan it afresh only if it stays far below what is possible."""
@@ -148,9 +152,7 @@
         add_servers(layout, waiting)
         improve(layout, config.steps, self._rng, config.max_moves, config.min_gain)
         if not min(layout.values, default=0.0):
-            layout.reserve = 0.0
-            for index, members in enumerate(layout.members):
-                layout.place(index, members)
+            layout.relax()
             improve(layout, config.steps, self._rng, config.max_moves, config.min_gain)
         kept = group_of(layout, group.region, dict(group.mix), group.bundles)
         rate = layout.plain_rate()
--- a/basilwinch/placement/search.py
+++ b/basilwinch/placement/search.py
@@ -2,9 +2,9 @@
 
 import math
 
-from basilwinch.placement.layout import Layout, Rates, Segment
+from basilwinch.placement.layout import Layout, Segment, round_spans
 
-__all__ = ["add_servers", "find_layout", "improve"]
+__all__ = ["add_servers", "find_layout", "improve", "shake"]
 
 # A start that reaches this part of the bound ends the search; the next starts cost more time than
 # the rest can gain.
@@ -20,19 +20,18 @@
     :param target: rate of the mix that would be the best possible; a close result ends the search
     :returns: the layout; its rate is 0 if no layout holds every layer
     """
-    rates = Rates(bundles, config.cache_part)
     zones = {server.zone for server in servers}
     reserve = config.zone_reserve if len(zones) > 1 else 0.0
-    best, best_score = Layout(servers, rates, [], reserve), (-1.0, 0.0)
+    best, best_score = Layout(servers, bundles, [], reserve), (-1.0, 0.0)
     seen = set()
-    for segments in _starts(servers, bundles, rates):
+    for segments in _starts(servers, bundles):
         if tuple(segments) in seen or len(segments) > len(servers):
             continue
         seen.add(tuple(segments))
-        layout = Layout(servers, rates, segments, reserve)
+        layout = Layout(servers, bundles, segments, reserve)
         add_servers(layout, servers)
         improve(layout, config.steps, rng)
-        score = (min(layout.values), layout.plain_rate())
+        score = _score(layout)
         if score > best_score:
             best, best_score = layout, score
         if score[0] >= GOOD_ENOUGH * target:
@@ -40,68 +39,89 @@
     return best
 
 
-def _starts(servers, bundles, rates):
+def _score(layout) -> tuple[float, float]:
+    return min(layout.values, default=0.0), layout.plain_rate()
+
+
+def shake(layout: Layout, config, kicks: int, target: float, rng) -> Layout:
+    """Search on from a local optimum after random swaps; return the best layout found.
+
+    :param kicks: number of rounds
+    """
+    best, best_score = layout, _score(layout)
+    for _ in range(kicks):
+        if best_score[0] >= GOOD_ENOUGH * target or len(best.members) < 2:
+            break
+        trial = best.copy()
+        for _ in range(rng.randint(1, 3)):
+            left, right = rng.sample(range(len(trial.members)), 2)
+            mine, theirs = trial.members[left], trial.members[right]
+            if mine and theirs:
+                out, back = rng.choice(mine), rng.choice(theirs)
+                trial.place(left, [s for s in mine if s is not out] + [back])
+                trial.place(right, [s for s in theirs if s is not back] + [out])
+        improve(trial, config.steps, rng)
+        score = _score(trial)
+        if score > best_score:
+            best, best_score = trial, score
+    return best
+
+
+def _starts(servers, bundles):
     """Yield lists of segments: by kind of server first, then equal splits of growing number."""
     for narrow in (1.0, 0.75, 0.5):
-        yield [
-            Segment(index, length)
-            for index, bundle in enumerate(bundles)
-            for length in _lengths_by_kind(servers, index, bundle, rates, narrow)
-        ]
+        yield _segments(bundles, [_spans_by_kind(servers, bundle, narrow) for bundle in bundles])
     for extra in range(4):
-        segments = []
-        for index, bundle in enumerate(bundles):
-            widest = max(_longest(rates.of(server)[index]) for server in servers)
-            if widest == 0:
-                return
-            count = min(math.ceil(bundle.layers / widest) + extra, bundle.layers)
-            segments += [Segment(index, n) for n in _round([1.0] * count, bundle.layers)]
-        yield segments
-
-
-def _lengths_by_kind(servers, index, bundle, rates, narrow) -> list[int]:
-    """Give each class of server layers in proportion to its rate, in segments that fit it."""
-    classes: dict[int, float] = {}
+        spans = []
+        for bundle in bundles:
+            widest = max(_longest(server, bundle) for server in servers)
+            spans.append([1.0] * (math.ceil(1.0 / widest) + extra) if widest else [1.0])
+        yield _segments(bundles, spans)
+
+
+def _segments(bundles, spans_by_bundle) -> list[Segment]:
+    segments = []
+    for index, (bundle, spans) in enumerate(zip(bundles, spans_by_bundle, strict=True)):
+        # Every segment holds at least one layer of the deepest model.
+        deepest = max(model.layers for model in bundle.models)
+        spans = spans[:deepest]
+        by_model = [
+            round_spans(spans, model.layers, int(model.layers == deepest))
+            for model in bundle.models
+        ]
+        segments += [Segment(index, lengths) for lengths in zip(*by_model, strict=True)]
+    return segments
+
+
+def _spans_by_kind(servers, bundle, narrow) -> list[float]:
+    """Give each class of server depth in proportion to its rate, in segments that fit it."""
+    classes: dict[float, float] = {}
     for server in servers:
-        longest = _longest(rates.of(server)[index])
+        longest = _longest(server, bundle)
         if longest:
             classes[longest] = classes.get(longest, 0.0) + server.tokens_per_s
     total = sum(classes.values())
     spans, carried = [], 0.0
     for longest, rate in sorted(classes.items()):
-        span = carried + bundle.layers * rate / total
-        if span < 1.0:
+        span = carried + rate / total
+        # A segment of less than a layer is left to the next class.
+        if span * max(model.layers for model in bundle.models) < 1.0:
             carried = span
             continue
         carried = 0.0
-        count = math.ceil(span / max(1, math.floor(longest * narrow)))
+        count = math.ceil(span / (longest * narrow))
         spans += [span / count] * count
-    if not spans:
-        return [bundle.layers]
-    return _round(spans, bundle.layers)
-
-
-def _longest(rates: list[float]) -> int:
-    """Return the greatest length at which a server still reaches nearly its full rate."""
-    full = rates[1] if len(rates) > 1 else 0.0
-    return max((n for n, rate in enumerate(rates) if n and rate > 0.9 * full > 0), default=0)
-
-
-def _round(spans: list[float], total: int) -> list[int]:
-    """Round spans to positive integers with a given sum, the largest remainders up."""
-    scale = total / sum(spans)
-    lengths = [max(1, math.floor(span * scale)) for span in spans]
-    order = sorted(range(len(spans)), key=lambda i: lengths[i] - spans[i] * scale)
-    index = 0
-    while sum(lengths) != total:
-        step = 1 if sum(lengths) < total else -1
-        place = order[index % len(order)] if step > 0 else lengths.index(max(lengths))
-        lengths[place] += step
-        index += 1
-        if lengths[place] == 0:
-            del lengths[place]
-            order = list(range(len(lengths)))
-    return lengths
+    return spans or [1.0]
+
+
+def _longest(server, bundle) -> float:
+    """Return the part of the depth that a server can hold at nearly its full rate."""
+    whole = bundle.weight_of(tuple(model.layers for model in bundle.models))
+    free = server.memory_bytes * (1 - bundle.cache_part)
+    if bundle.kv_per_rate:
+        free = min(free, server.memory_bytes - 0.9 * server.tokens_per_s * bundle.kv_per_rate)
+    least = sum(bundle.weights)
+    return min(free / whole, 1.0) if free >= least else 0.0
 
 
 def add_servers(layout: Layout, servers) -> None:
@@ -126,9 +146,9 @@
         def need(index, server=server):
             members = layout.members[index]
             total = sum(layout.rate(member, index) for member in members)
-            bundle = layout.rates.bundles[layout.bundle_of[index]]
+            work = layout.bundles[layout.bundle_of[index]].work_of(layout.lengths[index])
             same_zone = any(member.zone == server.zone for member in members)
-            return total / (bundle.work * layout.lengths[index]), same_zone
+            return total / work, same_zone
 
         index = min(choices, key=need)
         layout.place(index, layout.members[index] + [server])
@@ -165,8 +185,8 @@
                 best, best_score, best_cost = change, rank, cost
         if best is None:
             break
-        for segment, members, length in best:
-            layout.place(segment, members, length)
+        for segment, members, lengths in best:
+            layout.place(segment, members, lengths)
         moved += best_cost
     return moved
 
@@ -198,15 +218,26 @@
                 kept = layout.value_with(other, swapped)
                 if kept > floor:
                     yield min(value, kept), 2, ((low, after, None), (other, swapped, None))
-        if layout.bundle_of[other] == layout.bundle_of[low] and layout.lengths[low] > 1:
-            shorter, longer = layout.lengths[low] - 1, layout.lengths[other] + 1
+        if layout.bundle_of[other] != layout.bundle_of[low]:
+            continue
+        for place, length in enumerate(layout.lengths[low]):
+            if not length:
+                continue
+            shorter = _with_more(layout.lengths[low], place, -1)
+            longer = _with_more(layout.lengths[other], place, 1)
             value = layout.value_with(low, own, shorter)
+            if value <= floor:
+                continue
             kept = layout.value_with(other, theirs, longer)
-            if value > floor and kept > floor:
+            if kept > floor:
                 cost = _shifted(layout, low, other)
                 yield min(value, kept), cost, ((low, own, shorter), (other, theirs, longer))
 
 
+def _with_more(lengths, place, step):
+    return (*lengths[:place], lengths[place] + step, *lengths[place + 1 :])
+
+
 def _shifted(layout, low, other) -> int:
     """Return how many servers get another range when a layer moves between two segments."""
     between = range(min(low, other), max(low, other) + 1)
