--- a/basilwinch/placement/layout.py
+++ b/basilwinch/placement/layout.py
@@ -54,7 +54,7 @@
 
 
 class Segment(Record):
-    """Parts of the models of the bundle with index ``bundle``; ``lengths`` is in layers by model."""
+    """Parts of the models of a bundle, given by its index; ``lengths`` counts layers by model."""
 
     __slots__ = ("bundle", "lengths")
 
