Try the most promising bundlings first

A group of 45 servers with five models tried all 52 bundlings because the best one reached 0.984 of the bound, just under the limit that ends the search; 330 servers took 24.8 s. All in one is now tried second and 0.97 ends the choice.

--- a/basilwinch/placement/group.py
+++ b/basilwinch/placement/group.py
@@ -11,8 +11,8 @@
 
 # A slice of a model below this part of a group costs a copy of its weights for next to no requests.
 LEAST_SLICE = 0.03
-# Search ends at this part of the bound.
-GOOD_ENOUGH = 0.985
+# No more ways to bundle are tried from this part of the bound on; each takes up to 0.5 s.
+GOOD_BUNDLING = 0.97
 # Models of a group that are bundled freely.
 MOST_UNITS = 5
 
@@ -131,7 +131,7 @@
             layout = find_layout(servers, bundles, chosen, target, rng)
             if min(layout.values, default=0.0) > 0 and layout.plain_rate() > best_rate:
                 best, best_rate = (names, layout), layout.plain_rate()
-            if best_rate >= GOOD_ENOUGH * target:
+            if best_rate >= GOOD_BUNDLING * target:
                 break
         if best is not None:
             layout = shake(best[1], chosen, kicks, target, rng)
@@ -152,7 +152,9 @@
 
 
 def _partitions(mix, models) -> list[tuple]:
-    """Return the ways to bundle the models, the most bundles first.
+    """Return the ways to bundle the models: each on its own, all in one, then all others.
+
+    All in one balances best but needs the most memory for weights.
 
     With more than ``MOST_UNITS`` models, those with the least work stay together, because the
     number of partitions grows as the Bell numbers (52 for five).
@@ -168,7 +170,7 @@
             for bundles in found
             for i in range(len(bundles))
         ] + [(*bundles, unit) for bundles in found]
-    return sorted(found, key=len, reverse=True)
+    return sorted(found, key=lambda bundles: (len(bundles) not in (1, len(units)), -len(bundles)))
 
 
 def group_of(layout: Layout, region: str, mix, bundles) -> Group:
