--- a/basilwinch/exception.py
+++ b/basilwinch/exception.py
@@ -159,6 +159,10 @@
 DRAINING = FailureKind("draining", 503, "The node is leaving.", True)
 RETRIES_EXHAUSTED = FailureKind("retries_exhausted", 502, "Every attempt failed.", True)
 
+REQUEST_QUARANTINED = FailureKind(
+    "request_quarantined", 422, "The request is refused for a time because it crashed servers."
+)
+
 # Frames.
 WRONG_REQUEST = FailureKind("wrong_request", 502, "A frame belongs to another request.")
 WRONG_ATTEMPT = FailureKind("wrong_attempt", 502, "A frame belongs to another attempt.")
@@ -184,5 +188,19 @@
 )
 LEASE_LOST = FailureKind("lease_lost", 409, "The lease is not held any more.")
 
+# Orders.
+ORDER_NOT_CLAIMED = FailureKind(
+    "order_not_claimed", 503, "The order was not run because its claim could not be written.", True
+)
+ORDER_ID_INVALID = FailureKind(
+    "order_id_invalid", 400, "The order id is missing, too long or too old."
+)
+ORDER_MISMATCH = FailureKind(
+    "order_mismatch", 422, "The order id was used before for a different call."
+)
+ORDER_NOT_SENT = FailureKind(
+    "order_not_sent", 503, "The order was claimed but not sent; it was not run.", True
+)
+
 # Settings.
 INVALID_SETTING = FailureKind("invalid_setting", 400, "A setting is not valid.")
--- /dev/null
+++ b/basilwinch/relay/evidence.py
@@ -0,0 +1,183 @@
+"""Evidence against a request that may crash servers, and its exchange between nodes."""
+
+import enum
+import hashlib
+import json
+
+from basilwinch.exception import MALFORMED_REQUEST, ProtocolError
+from basilwinch.record import Record
+
+__all__ = ["Evidence", "Loss", "Strike", "SuspectEntry", "digest_request", "pack", "unpack"]
+
+
+class Loss(enum.StrEnum):
+    """How a server was lost while it ran a request."""
+
+    DEATH = "death"
+    STALL = "stall"
+
+
+def digest_request(organisation: str, model: str, prompt: str) -> str:
+    """Return the identity of a request across nodes, attempts and request ids.
+
+    >>> digest_request("a", "bc", "d") == digest_request("ab", "c", "d")
+    False
+    """
+    parts = json.dumps([organisation, model, prompt]).encode()
+    return hashlib.blake2b(parts, digest_size=16).hexdigest()
+
+
+class Strike(Record):
+    """One loss of a server that ran the request.
+
+    :param id: unique in the fleet: node and number
+    :param server: server lost; for a stall the chain's servers, joined
+    :param loss: :class:`Loss`
+    :param strong: whether the request had just started there, so that it is a likely cause
+    :param isolated: whether it ran there in isolation, and no other isolated request did
+    :param age_s: seconds since the loss, at the time of the export
+    """
+
+    __slots__ = ("id", "server", "loss", "strong", "isolated", "age_s")
+
+
+class SuspectEntry(Record):
+    """What a node tells others about a suspect.
+
+    :param digest: identity of the request
+    :param strikes: tuple of :class:`Strike`
+    :param cleared: ids of the strikes that the request did not cause
+    :param left_s: seconds until the entry expires
+    :param tester: node that runs it in isolation or did so last, or empty
+    :param tester_left_s: seconds until that claim expires, 0 if it has ended
+    :param servers: servers of the isolated run
+    """
+
+    __slots__ = ("digest", "strikes", "cleared", "left_s", "tester", "tester_left_s", "servers")
+    _defaults = {"cleared": (), "tester": "", "tester_left_s": 0.0, "servers": ()}
+
+
+def pack(entries: list[SuspectEntry]) -> bytes:
+    """Return entries as bytes, about 200 for an entry with one strike."""
+    rows = [
+        [
+            [
+                [s.id, s.server, s.loss, s.strong, s.isolated, round(s.age_s, 3)]
+                for s in value
+            ]
+            if name == "strikes"
+            else value
+            for name, value in entry.to_dict().items()
+        ]
+        for entry in entries
+    ]
+    return json.dumps(rows, separators=(",", ":"), ensure_ascii=False).encode()
+
+
+def unpack(data: bytes) -> list[SuspectEntry]:
+    """Return the entries that :func:`pack` wrote.
+
+    :raises ProtocolError: on malformed bytes
+    """
+    try:
+        entries = []
+        for digest, strikes, cleared, left_s, tester, tester_left_s, servers in json.loads(data):
+            strikes = tuple(
+                Strike(str(i), str(s), Loss(k), bool(g), bool(o), max(0.0, float(a)))
+                for i, s, k, g, o, a in strikes
+            )
+            entries.append(
+                SuspectEntry(
+                    str(digest),
+                    strikes,
+                    tuple(map(str, cleared)),
+                    float(left_s),
+                    str(tester),
+                    float(tester_left_s),
+                    tuple(map(str, servers)),
+                )
+            )
+    except (ValueError, TypeError) as error:
+        failure = MALFORMED_REQUEST.because(f"suspect entries cannot be read: {error}")
+        raise ProtocolError(failure) from error
+    return entries
+
+
+class Evidence:
+    """All that a node knows about one suspect. Times are local seconds.
+
+    Strikes and clearances are sets that only grow until the record expires, so records merge in any
+    order and any number of times to the same state.
+
+    :param until: time of expiry
+    """
+
+    __slots__ = ("strikes", "cleared", "until", "tester", "tester_until", "servers", "convicted_at")
+
+    def __init__(self, until: float):
+        self.strikes: dict[str, tuple[Strike, float]] = {}
+        self.cleared: set[str] = set()
+        self.until = until
+        self.tester = ""
+        self.tester_until = 0.0
+        self.servers: tuple[str, ...] = ()
+        self.convicted_at: float | None = None
+
+    def active(self) -> list[Strike]:
+        """Return the strikes that are not cleared."""
+        return [strike for id, (strike, _) in self.strikes.items() if id not in self.cleared]
+
+    def needs_isolation(self, resent: bool) -> bool:
+        """Return whether the next run must be isolated.
+
+        One weak strike is not enough for a retry: in a batch of 30, 29 are innocent. A request that
+        was sent again with a strike on it is isolated, because its first run was not retried to the
+        end.
+        """
+        active = self.active()
+        return len(active) >= 2 or any(s.strong for s in active) or bool(active and resent)
+
+    def is_convicted(self) -> bool:
+        """Return whether the request is held to crash servers.
+
+        Either a server died while it ran there alone and one more died before, or three died. A
+        stall may be congestion, so it convicts only as the third strike and in isolation.
+        """
+        active = self.active()
+        deaths = sum(strike.loss is Loss.DEATH for strike in active)
+        if deaths >= 3:
+            return True
+        alone = [strike for strike in active if strike.isolated]
+        if deaths >= 2 and any(strike.loss is Loss.DEATH for strike in alone):
+            return True
+        return len(active) >= 3 and bool(alone)
+
+    def merge(self, entry: SuspectEntry, now: float) -> None:
+        """Take over what another node knows."""
+        for strike in entry.strikes:
+            self.strikes.setdefault(strike.id, (strike, now - strike.age_s))
+        self.cleared.update(entry.cleared)
+        self.until = max(self.until, now + entry.left_s)
+        if not entry.tester:
+            return
+        if entry.tester_left_s <= 0:
+            if entry.tester == self.tester:
+                self.tester_until = 0.0
+        elif now >= self.tester_until or entry.tester <= self.tester:
+            self.tester = entry.tester
+            self.tester_until = now + entry.tester_left_s
+            self.servers = entry.servers
+
+    def to_entry(self, digest: str, now: float) -> SuspectEntry:
+        """Return the form for other nodes."""
+        strikes = tuple(strike.replace(age_s=now - at) for strike, at in self.strikes.values())
+        testing = now < self.tester_until
+        return SuspectEntry(
+            digest,
+            strikes,
+            tuple(sorted(self.cleared)),
+            self.until - now,
+            self.tester,
+            self.tester_until - now if testing else 0.0,
+            self.servers if testing else (),
+        )
