--- a/basilwinch/relay/evidence.py
+++ b/basilwinch/relay/evidence.py
@@ -61,12 +61,11 @@
     """Return entries as bytes, about 200 for an entry with one strike."""
     rows = [
         [
-            [
-                [s.id, s.server, s.loss, s.strong, s.isolated, round(s.age_s, 3)]
-                for s in value
-            ]
-            if name == "strikes"
-            else value
+            (
+                [[s.id, s.server, s.loss, s.strong, s.isolated, round(s.age_s, 3)] for s in value]
+                if name == "strikes"
+                else value
+            )
             for name, value in entry.to_dict().items()
         ]
         for entry in entries
--- a/basilwinch/relay/relay.py
+++ b/basilwinch/relay/relay.py
@@ -84,8 +84,8 @@
 
         :param request: :class:`ModelRequest`
         :returns: an async iterator of the frames of the response, each position once and in order
-        :raises BasilwinchError: when the response cannot be completed; ``DRAINING`` before the first
-            attempt, others from the iteration
+        :raises BasilwinchError: when the response cannot be completed; ``DRAINING`` before the
+            first attempt, others from the iteration
         """
         if self.draining:
             raise CallerError(DRAINING.because("the node finishes its requests and leaves"))
--- a/basilwinch/relay/resume.py
+++ b/basilwinch/relay/resume.py
@@ -34,10 +34,10 @@
 ) -> ResumePlan:
     """Compare prefix replay with KV import.
 
-    Replay runs all ``tokens`` through the new chain at the prefill rate. Import moves the KV cache of
-    each stage whose server changes. It is possible only if the layer ranges agree and no old stage is
-    lost: the cache of lost layers can only be computed again from the layers before them, which is a
-    replay.
+    Replay runs all ``tokens`` through the new chain at the prefill rate. Import moves the KV cache
+    of each stage whose server changes. It is possible only if the layer ranges agree and no old
+    stage is lost: the cache of lost layers can only be computed again from the layers before them,
+    which is a replay.
 
     :param model: sizes of the model, None if unknown (then replay)
     :param old: chain of the failed attempt
--- a/basilwinch/relay/run.py
+++ b/basilwinch/relay/run.py
@@ -40,7 +40,17 @@
 class _Attempt:
     """The attempt in progress: its chain, stream and checks."""
 
-    __slots__ = ("number", "choice", "stream", "checker", "gap", "stack", "started", "last", "frames")
+    __slots__ = (
+        "number",
+        "choice",
+        "stream",
+        "checker",
+        "gap",
+        "stack",
+        "started",
+        "last",
+        "frames",
+    )
 
     def __init__(self, number: int, choice: RouteChoice, checker: FrameChecker, gap: GapEstimate):
         self.number = number
--- a/basilwinch/relay/suspect.py
+++ b/basilwinch/relay/suspect.py
@@ -331,9 +331,7 @@
             evidence.convicted_at = now
             evidence.until = max(evidence.until, now + self._config.convicted_s)
             servers = [strike.server for strike in evidence.active()]
-            self._log.record(
-                "suspect", "convicted", "servers died", digest=digest, servers=servers
-            )
+            self._log.record("suspect", "convicted", "servers died", digest=digest, servers=servers)
 
     def _refusal(self, digest: str, evidence: Evidence, now: float) -> Failure:
         left = evidence.until - now
