--- a/basilwinch/exception.py
+++ b/basilwinch/exception.py
@@ -190,5 +190,37 @@
 )
 LEASE_LOST = FailureKind("lease_lost", 409, "The lease is not held any more.")
 
+# Release notes.
+NOTE_UNREADABLE = FailureKind("note_unreadable", 400, "The file of the note cannot be read.")
+NOTE_SYNTAX = FailureKind("note_syntax", 400, "The note is not valid TOML in UTF-8.")
+NOTE_UNKNOWN_TABLE = FailureKind("note_unknown_table", 400, "A table of the note is not known.")
+NOTE_UNKNOWN_KEY = FailureKind("note_unknown_key", 400, "A key of the entry is not known.")
+NOTE_MISSING_KEY = FailureKind("note_missing_key", 400, "The entry lacks a key.")
+NOTE_WRONG_VALUE = FailureKind("note_wrong_value", 400, "A value of the entry is not valid.")
+NOTE_WRONG_NAME = FailureKind("note_wrong_name", 400, "The name of the entry is not valid.")
+NOTE_DUPLICATE = FailureKind("note_duplicate", 400, "The note names an entry twice.")
+NOTE_CONFUSABLE = FailureKind("note_confusable", 400, "Two names look alike.")
+NOTE_EXISTS = FailureKind("note_exists", 409, "An added entry exists already.")
+NOTE_NOT_FOUND = FailureKind("note_not_found", 409, "A changed or withdrawn entry does not exist.")
+NOTE_UNKNOWN_REFERENCE = FailureKind(
+    "note_unknown_reference", 409, "The entry names another entry that does not exist."
+)
+NOTE_STILL_NEEDED = FailureKind("note_still_needed", 409, "A withdrawn entry is still needed.")
+NOTE_NOT_UNIQUE = FailureKind("note_not_unique", 409, "Two entries share a value that must differ.")
+NOTE_EMPTY = FailureKind("note_empty", 400, "The note changes nothing.")
+NOTE_INVALID = FailureKind("note_invalid", 400, "The note has errors.")
+NOTE_CONFLICT = FailureKind("note_conflict", 409, "Another note changed the same entries.")
+NOTE_CONTENDED = FailureKind("note_contended", 503, "Other notes kept coming first.", True)
+NOTE_UNSETTLED = FailureKind(
+    "note_unsettled", 503, "Whether the note was accepted could not be found out yet.", True
+)
+UNKNOWN_REVISION = FailureKind("unknown_revision", 404, "The history does not hold the revision.")
+RELEASE_MALFORMED = FailureKind("release_malformed", 502, "Stored or received state is malformed.")
+RELEASE_GAP = FailureKind("release_gap", 409, "Changes between two revisions are missing.", True)
+RELEASE_FORKED = FailureKind(
+    "release_forked", 409, "A newer revision does not contain the one held."
+)
+NOT_IN_EFFECT = FailureKind("not_in_effect", 504, "Not every node holds the revision yet.", True)
+
 # Settings.
 INVALID_SETTING = FailureKind("invalid_setting", 400, "A setting is not valid.")
--- /dev/null
+++ b/basilwinch/release/publisher.py
@@ -0,0 +1,206 @@
+"""Acceptance of release notes."""
+
+import time
+
+import trio
+
+from basilwinch.exception import (
+    NOTE_CONFLICT,
+    NOTE_CONTENDED,
+    NOTE_UNSETTLED,
+    PLATFORM_UNAVAILABLE,
+    RELEASE_GAP,
+    UNKNOWN_REVISION,
+    Failure,
+    PlatformError,
+)
+from basilwinch.platform import KeyValueStore
+from basilwinch.record import Record
+from basilwinch.release.change import touched
+from basilwinch.release.layout import Body, Head, Table
+from basilwinch.release.loader import load_head, read_head, read_history, read_table
+from basilwinch.release.maintenance import maintain
+from basilwinch.release.note import ReleaseNote
+from basilwinch.release.plan import plan_note
+from basilwinch.release.state import Revision, State
+from basilwinch.release.writer import Draft, write_draft
+
+__all__ = ["Publication", "Publisher"]
+
+_MAX_ATTEMPTS = 20
+# A publisher that is further behind reads the whole state instead of the notes in between.
+_MAX_BEHIND = 100
+
+
+class Publication(Record):
+    """An accepted note: its revision, id, changes, and how many attempts it took."""
+
+    __slots__ = ("revision", "note", "changes", "attempts")
+
+
+class Publisher:
+    """Publishes notes; keeps the state it has read, so that a second note costs less.
+
+    :param store: key-value service
+    :param rng: :class:`random.Random`, for ids and waits; seeded from the system in production
+    :param author: name for the history
+    :param clock: function that returns seconds since the epoch, for the history
+    :param settle_s: seconds to go on finding out an ambiguous outcome
+    """
+
+    def __init__(
+        self, store: KeyValueStore, rng, author: str = "", clock=time.time, settle_s: float = 30.0
+    ):
+        self._store = store
+        self._rng = rng
+        self._author = author
+        self._clock = clock
+        self._settle_s = settle_s
+        self._head = Head.none()
+        self._table: Table | None = None
+        self._state = State.empty()
+
+    def new_note_id(self) -> str:
+        """Return a new unique note id."""
+        return f"{self._rng.getrandbits(64):016x}"
+
+    async def refresh(self) -> State:
+        """Read what is new and return the state in effect.
+
+        :raises PlatformError: if it cannot be read
+        """
+        head = await read_head(self._store)
+        if head.revision != self._head.revision or self._table is None:
+            await self._catch_up(head)
+        else:
+            # The version of the head key changes when the same head is written back.
+            self._head = head
+        return self._state
+
+    async def publish(
+        self, note: ReleaseNote, note_id: str = "", base: int | None = None
+    ) -> Publication | Failure:
+        """Publish a note.
+
+        :param note: the note
+        :param note_id: unique id; with the id of a note that was accepted, nothing is done again
+        :param base: revision that the note was planned against; a change of one of its entries
+            since then is a conflict. By default the revision at the start of the call.
+        :returns: the publication; or ``NOTE_INVALID``; or ``NOTE_CONFLICT`` with the ``keys``;
+            ``PLATFORM_UNAVAILABLE`` if the note was certainly not accepted; ``NOTE_UNSETTLED``
+            if that is not known
+        """
+        try:
+            if note_id:
+                await self.refresh()
+                accepted = await self._find(note_id)
+                if accepted:
+                    return accepted
+            note_id = note_id or self.new_note_id()
+            return await self._publish(note, note_id, base)
+        except PlatformError as error:
+            return _as_outcome(error.failure, note_id)
+
+    async def _publish(self, note, note_id, base) -> Publication | Failure:
+        state = await self.refresh()
+        start = state.revision.number if base is None else base
+        for attempt in range(1, _MAX_ATTEMPTS + 1):
+            conflict = await self._find_conflict(note, start)
+            if conflict is not None:
+                return conflict
+            changes = plan_note(note, self._state)
+            if isinstance(changes, Failure):
+                return changes
+            publication = await self._attempt(note, note_id, changes, attempt)
+            if publication:
+                return publication
+            await trio.sleep(self._rng.uniform(0, 0.01 * attempt))
+            await self.refresh()
+        return NOTE_CONTENDED.because(f"{_MAX_ATTEMPTS} attempts", note=note_id)
+
+    async def _attempt(self, note, note_id, changes, attempt) -> Publication | None:
+        head, state = self._head, self._state
+        revision = Revision(head.revision.number + 1, f"{note_id}.{self._rng.getrandbits(32):08x}")
+        body = Body(
+            revision=revision,
+            note=note_id,
+            parent=head.revision,
+            title=note.title,
+            author=self._author,
+            time=round(self._clock(), 3),
+            changes=tuple(changes),
+        )
+        new_state = state.applied(revision, changes)
+        draft = Draft.from_changes(head, self._table, new_state, body)
+        if not await write_draft(self._store, draft, self._rng, self._settle_s):
+            return None
+        await maintain(self._store, revision)
+        return Publication(revision, note_id, tuple(changes), attempt)
+
+    async def _find_conflict(self, note: ReleaseNote, start: int) -> Failure | None:
+        head = self._head.revision
+        if start > head.number:
+            reason = f"revision {start} is newer than revision {head.number} in effect"
+            return UNKNOWN_REVISION.because(reason, revision=start)
+        if start == head.number:
+            return None
+        history = await read_history(self._store, head, start)
+        others = {key: body.revision.number for body in history for key in touched(body.changes)}
+        keys = sorted(item.key for item in note.items if item.key in others)
+        if not keys:
+            return None
+        revisions = sorted({others[key] for key in keys})
+        reason = f"revision {revisions[-1]} changed {', '.join(keys[:5])}"
+        return NOTE_CONFLICT.because(reason, keys=keys, revisions=revisions)
+
+    async def _find(self, note_id: str) -> Publication | None:
+        """Return the publication of a note that the recent history holds."""
+        head = self._head.revision
+        history = await read_recent(self._store, head, _MAX_BEHIND)
+        for body in history:
+            if body.note == note_id:
+                return Publication(body.revision, note_id, body.changes, 0)
+        return None
+
+    async def _catch_up(self, head: Head):
+        behind = head.revision.number - self._state.revision.number
+        if self._table is not None and 0 < behind <= _MAX_BEHIND:
+            try:
+                history = await read_history(
+                    self._store, head.revision, self._state.revision.number
+                )
+            except PlatformError as error:
+                if error.failure.kind is not RELEASE_GAP:
+                    raise
+                history = []
+            table = await read_table(self._store, head)
+            if table and history and history[0].parent == self._state.revision:
+                for body in history:
+                    self._state = self._state.applied(body.revision, body.changes, body.parents)
+                self._head, self._table = head, table
+                return
+        self._head, self._table, self._state = await load_head(self._store)
+
+
+async def read_recent(store: KeyValueStore, head: Revision, count: int) -> list[Body]:
+    """Return up to ``count`` of the latest notes, oldest first, as far as they are kept.
+
+    :raises PlatformError: if they cannot be read
+    """
+    after = max(head.number - count, 0)
+    while True:
+        try:
+            return await read_history(store, head, after)
+        except PlatformError as error:
+            if error.failure.kind is not RELEASE_GAP or error.failure.detail["revision"] <= after:
+                raise
+            after = error.failure.detail["revision"]
+
+
+def _as_outcome(failure: Failure, note_id: str) -> Failure:
+    """Return a failure that came before the head was written as one without effect."""
+    if failure.kind is NOTE_UNSETTLED:
+        return failure
+    if failure.kind is PLATFORM_UNAVAILABLE:
+        return PLATFORM_UNAVAILABLE.because(failure.reason, failure.retry_after, note=note_id)
+    return failure
--- /dev/null
+++ b/basilwinch/release/writer.py
@@ -0,0 +1,158 @@
+"""Writing of a new revision: pages, table and note first, then the head."""
+
+import trio
+
+from basilwinch.exception import (
+    NOTE_UNSETTLED,
+    PLATFORM_AMBIGUOUS,
+    PLATFORM_UNAVAILABLE,
+    RELEASE_GAP,
+    PlatformError,
+)
+from basilwinch.platform import Compare, KeyValue, KeyValueStore
+from basilwinch.release.layout import HEAD, Body, Head, Table, page_key
+from basilwinch.release.loader import read_head, read_history, read_table
+from basilwinch.release.mapping import BUCKETS, bucket_of
+from basilwinch.release.state import State, encode_page
+
+__all__ = ["GRACE", "Draft", "write_draft"]
+
+# Replaced pages stay for so many revisions, 100 s at 53,000 changes a day, for slow readers.
+GRACE = 64
+# Limits of one call, below the platform's 1.5 MB and 128 operations.
+_CALL_BYTES = 900_000
+_CALL_OPERATIONS = 100
+_DELETES_PER_CALL = 25
+
+
+class Draft:
+    """All that is written for one attempt to move the head.
+
+    :param head: head that the draft builds on
+    :param table: table of that head
+    :param state: new state
+    :param body: note of the new state
+    :param page_indexes: pages that differ from those of the table
+    """
+
+    __slots__ = ("head", "new_head", "puts", "deletes")
+
+    def __init__(self, head: Head, table: Table, state: State, body: Body, page_indexes):
+        revision = state.revision
+        pages = dict(table.pages)
+        replaced = list(table.replaced)
+        self.puts = body.encode()
+        for index in page_indexes:
+            if index in pages:
+                replaced.append((revision.number, pages.pop(index)))
+            if data := encode_page(state.page(index)):
+                pages[index] = page_key(index, revision)
+                self.puts.append(KeyValue(pages[index], data, 0))
+        if head.mod_revision:
+            replaced.append((revision.number, head.table_key))
+        due = [key for number, key in replaced if number <= revision.number - GRACE]
+        self.deletes = due[:_DELETES_PER_CALL]
+        gone = set(self.deletes)
+        replaced = [item for item in replaced if item[1] not in gone]
+        self.head = head
+        self.new_head = Head(revision, body.note, 0)
+        new_table = Table(pages, state.trail, tuple(replaced))
+        self.puts.append(KeyValue(self.new_head.table_key, new_table.encode(), 0))
+
+    @classmethod
+    def from_changes(cls, head: Head, table: Table, state: State, body: Body) -> "Draft":
+        """Build a draft that rewrites only the pages with changed entries."""
+        indexes = sorted({bucket_of(change.name) for change in body.changes})
+        return cls(head, table, state, body, indexes)
+
+    @classmethod
+    def from_whole(cls, head: Head, table: Table, state: State, body: Body) -> "Draft":
+        """Build a draft that rewrites every page."""
+        return cls(head, table, state, body, range(BUCKETS))
+
+
+async def write_draft(store: KeyValueStore, draft: Draft, rng, settle_s: float = 30.0) -> bool:
+    """Write a draft; a small one takes one transaction.
+
+    :param rng: :class:`random.Random` for the waits between tries
+    :param settle_s: seconds to go on trying to find out an ambiguous outcome
+    :returns: whether the head was moved; False if another note came first
+    :raises PlatformError: ``PLATFORM_UNAVAILABLE`` if the head was certainly not moved,
+        ``NOTE_UNSETTLED`` if it may have been
+    """
+    early, last = _split(draft.puts)
+    for puts in early:
+        await _write_early(store, puts, rng)
+    compares = [Compare(HEAD, draft.head.mod_revision)]
+    puts = [*last, KeyValue(HEAD, draft.new_head.encode(), 0)]
+    ambiguous = None
+    for delay in _delays(rng, settle_s):
+        try:
+            outcome = await store.transact(compares, puts, draft.deletes)
+            if outcome.succeeded or not ambiguous:
+                return outcome.succeeded
+            return await _was_accepted(store, draft)
+        except PlatformError as error:
+            kind = error.failure.kind
+            if kind is PLATFORM_AMBIGUOUS:
+                # The write repeated with the same condition has effect at most once.
+                ambiguous = error.failure
+            elif not ambiguous:
+                raise
+            elif kind is not PLATFORM_UNAVAILABLE:
+                break
+        await trio.sleep(delay)
+    raise PlatformError(NOTE_UNSETTLED.because(ambiguous.reason, note=draft.new_head.note))
+
+
+async def _was_accepted(store: KeyValueStore, draft: Draft) -> bool:
+    """Tell whether a draft is among the revisions that led to the head."""
+    revision = draft.new_head.revision
+    head = await read_head(store)
+    if head.revision.number < revision.number:
+        return False
+    try:
+        history = await read_history(store, head.revision, revision.number - 1, False)
+        return any(body.revision == revision for body in history)
+    except PlatformError as error:
+        if error.failure.kind is not RELEASE_GAP:
+            raise
+    table = await read_table(store, head)
+    return table is not None and revision in table.trail
+
+
+async def _write_early(store: KeyValueStore, puts: list[KeyValue], rng):
+    """Write values under unique names; a repeated write does no harm."""
+    delays = _delays(rng, 5.0)
+    while True:
+        try:
+            await store.transact([], puts)
+            return
+        except PlatformError as error:
+            delay = next(delays, None)
+            if error.failure.kind is not PLATFORM_AMBIGUOUS or delay is None:
+                failure = PLATFORM_UNAVAILABLE.because(f"before the head: {error.failure.reason}")
+                raise PlatformError(failure) from error
+        await trio.sleep(delay)
+
+
+def _delays(rng, total_s: float):
+    """Yield growing waits with jitter that add up to about ``total_s``."""
+    delay, spent = 0.02, 0.0
+    while spent < total_s:
+        wait = delay * rng.uniform(0.5, 1.5)
+        yield wait
+        spent += wait
+        delay = min(delay * 2, 2.0)
+
+
+def _split(puts: list[KeyValue]) -> tuple[list[list[KeyValue]], list[KeyValue]]:
+    """Return the puts as calls within the limits; the last one leaves room for the head."""
+    calls, size = [[]], 0
+    for put in puts:
+        size += len(put.value) + len(put.key)
+        if calls[-1] and (size > _CALL_BYTES or len(calls[-1]) >= _CALL_OPERATIONS):
+            calls.append([])
+            size = len(put.value) + len(put.key)
+        calls[-1].append(put)
+    return calls[:-1], calls[-1]
