Add admission: shared limits, fair queue and deadlines

Every node keeps a bucket for the whole fleet, drained by its own grants and by the rates that the others report, and falls back to its part of the demand when the bucket runs low. Requests then wait in a start-time fair queue for each model, with early refusal where the deadline cannot be met.

--- /dev/null
+++ b/basilwinch/admission/__init__.py
@@ -0,0 +1,6 @@
+"""Admission: limits of organisations over all nodes, fair queues and deadlines."""
+
+from basilwinch.admission.admission import Admission, Ticket
+from basilwinch.admission.config import AdmissionConfig, AdmitRequest, Usage
+
+__all__ = ["Admission", "AdmissionConfig", "AdmitRequest", "Ticket", "Usage"]
