Add gateway, plain services, embedded daemon: the thin whole path

Cause: a request must go from a caller to a pipeline and back before the parts are refined. Change: ASGI gateway (OpenAI-compatible chat, plain services, orders, health, metrics, state), dispatcher of idempotent calls, node core that wires admission, routing, relay and orders, embedded daemon with stand-ins, scenario language. Faults found by tests on the way: a disconnect reported after a complete response was logged as a caller that left; stream_options of a wrong type passed.

--- /dev/null
+++ b/basilwinch/daemon/__init__.py
@@ -0,0 +1,3 @@
+"""The daemon ``basilwinchd``: one entry node."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/basilwinch/daemon/__main__.py
@@ -0,0 +1,6 @@
+"""Runs ``basilwinchd`` as ``python -m basilwinch.daemon``."""
+
+from basilwinch.daemon.program import main
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/basilwinch/daemon/core.py
@@ -0,0 +1,164 @@
+"""The decision parts of one node and the state in effect that they share."""
+
+import random
+
+import prometheus_client
+import structlog
+import trio
+
+from basilwinch.admission import Admission, AdmissionConfig
+from basilwinch.catalog import Catalog
+from basilwinch.exception import NOT_READY, Failure
+from basilwinch.observability import DecisionLog
+from basilwinch.order import OrderConfig, OrderRunner
+from basilwinch.pipeline import Placement
+from basilwinch.record import Record
+from basilwinch.relay import Relay, RelayConfig, SuspectConfig, SuspectRegistry
+from basilwinch.release import Replica
+from basilwinch.routing import ChainRouter, RoutingConfig
+from basilwinch.service import ServiceDispatcher
+
+__all__ = ["CoreConfig", "NodeCore", "Outside"]
+
+# Revisions are seconds in the making; a tenth of a second more does not count.
+APPLY_EVERY_S = 0.1
+
+
+class Outside(Record):
+    """The systems around a node.
+
+    :param store: key-value service
+    :param engines: client of model engines
+    :param services: client of plain services
+    """
+
+    __slots__ = ("store", "engines", "services")
+
+
+class CoreConfig(Record):
+    """Settings of the decision parts.
+
+    :param name: name of this node
+    :param zone: availability zone of this node
+    :param region: region of this node
+    :param slots: model requests in progress on this node at most
+    :param seed: seed of random choices
+    :param write_lines: whether each decision writes a log line
+    """
+
+    __slots__ = ("name", "zone", "region", "slots", "seed", "write_lines")
+    _defaults = {"slots": 4096, "seed": 0, "write_lines": True}
+
+
+class NodeCore:
+    """Decision parts of a node: state in effect, admission, routing, relay, orders.
+
+    :param config: settings
+    :param outside: systems around the node
+    :param registry: registry of metrics
+    """
+
+    __slots__ = (
+        "config",
+        "outside",
+        "replica",
+        "router",
+        "admission",
+        "suspects",
+        "relay",
+        "dispatcher",
+        "orders",
+        "placements",
+        "nodes",
+        "log",
+        "registry",
+        "_applied",
+        "_structlog",
+    )
+
+    def __init__(self, config: CoreConfig, outside: Outside, registry, replica: Replica):
+        rng = random.Random(config.seed)
+        self.config = config
+        self.outside = outside
+        self.registry = registry
+        self.log = DecisionLog(registry, config.write_lines)
+        self.replica = replica
+        routing = RoutingConfig(node=config.name, zone=config.zone, region=config.region)
+        self.router = ChainRouter.from_config(routing, rng, self.log)
+        self.admission = Admission.from_config(AdmissionConfig(), self.log)
+        self.suspects = SuspectRegistry(SuspectConfig(node=config.name), self.log)
+        self.relay = Relay.from_config(
+            RelayConfig(), self.router, outside.engines, self.suspects, rng, self.log
+        )
+        self.dispatcher = ServiceDispatcher(outside.services, rng, self.log)
+        self.orders = OrderRunner.from_config(
+            OrderConfig(node=config.name), outside.store, outside.services, rng, self.log
+        )
+        self.placements: dict[str, Placement] = {}
+        self.nodes = 1
+        self._applied: tuple | None = None
+        self._structlog = structlog.get_logger("node")
+
+    @classmethod
+    def from_config(
+        cls,
+        config: CoreConfig,
+        outside: Outside,
+        registry: prometheus_client.CollectorRegistry | None = None,
+        replica: Replica | None = None,
+    ) -> "NodeCore":
+        """Build the decision parts; registry and replica are new by default."""
+        registry = registry or prometheus_client.CollectorRegistry()
+        return cls(config, outside, registry, replica or Replica())
+
+    @property
+    def catalog(self) -> Catalog:
+        """The state in effect."""
+        return self.replica.catalog
+
+    def find_unready(self) -> Failure | None:
+        """Return ``NOT_READY`` until a first revision is in effect."""
+        if self.replica.revision == 0:
+            return NOT_READY.because("no release note is in effect yet", retry_after=1.0)
+        return None
+
+    def describe(self) -> dict:
+        """Return what operators see under ``/admin/state``."""
+        unready = self.find_unready()
+        return {
+            "name": self.config.name,
+            "zone": self.config.zone,
+            "region": self.config.region,
+            "revision": self.replica.revision,
+            "revision_id": self.replica.revision_id,
+            "ready": unready is None,
+            "nodes": self.nodes,
+            "requests_in_progress": self.relay.in_progress,
+            "stages": {name: len(p.stages) for name, p in sorted(self.placements.items())},
+        }
+
+    def apply(self, placements: dict[str, Placement] | None = None) -> None:
+        """Bring all parts to the state in effect and to new placements.
+
+        :param placements: placements by model, None to keep those in use
+        """
+        now = trio.current_time()
+        if placements is not None:
+            self.placements = placements
+        catalog = self.catalog
+        self._applied = (catalog.revision, self.nodes)
+        self.router.update(catalog, self.placements, now)
+        self.admission.update(catalog.organisations, self.nodes, now)
+        self.relay.update(catalog)
+        self.dispatcher.update(catalog)
+        for model in catalog.models:
+            slots = min(self.config.slots, self.router.capacity(model))
+            self.admission.set_capacity(model, max(1, slots))
+        self._structlog.info("revision applied", revision=catalog.revision, nodes=self.nodes)
+
+    async def run(self) -> None:
+        """Apply new revisions until cancelled."""
+        while True:
+            if self._applied != (self.catalog.revision, self.nodes):
+                self.apply()
+            await trio.sleep(APPLY_EVERY_S)
--- /dev/null
+++ b/basilwinch/daemon/embedded.py
@@ -0,0 +1,61 @@
+"""Stand-ins that run on the daemon's own loop."""
+
+import random
+
+import trio
+
+from basilwinch.catalog import Catalog, ServiceKind
+from basilwinch.observability import DecisionLog
+from basilwinch.pipeline import Placement
+from basilwinch.placement import Planner, PlannerConfig, Workload
+from basilwinch.standin import DirectClient, MemoryKeyValueStore, PlainServices, StandinEngines
+
+__all__ = ["EmbeddedPlatform", "plan_placements"]
+
+CONTEXT_TOKENS = 512
+TOKEN_S = 0.027
+
+
+class EmbeddedPlatform:
+    """Key-value service, engines and plain services in memory.
+
+    :param seed: seed of links and cache events
+    """
+
+    __slots__ = ("store", "engines", "client", "_seed")
+
+    def __init__(self, seed: int):
+        self.store = MemoryKeyValueStore()
+        self.engines = StandinEngines([], seed=seed)
+        self.client = DirectClient(self.engines)
+        self._seed = seed
+
+    def start_servers(self, catalog: Catalog) -> None:
+        """Start a stand-in for each server of a catalog.
+
+        :param catalog: the state from which the servers are taken
+        """
+        engines, plain = [], []
+        for server in catalog.servers.values():
+            service = catalog.services[server.service]
+            (engines if service.kind is ServiceKind.MODEL else plain).append(server)
+        self.engines = StandinEngines(engines, seed=self._seed)
+        self.client.engines = self.engines
+        self.client.services = PlainServices([server.name for server in plain])
+
+    async def run(self) -> None:
+        """Run the engines until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.engines.run)
+
+
+def plan_placements(catalog: Catalog, seed: int, log: DecisionLog) -> dict[str, Placement]:
+    """Plan placements for all models with equal demand.
+
+    :param catalog: the state in effect
+    :param seed: seed of the planner
+    """
+    planner = Planner.from_config(PlannerConfig(), random.Random(seed), log)
+    demand = dict.fromkeys(catalog.models, 1.0)
+    workload = Workload(demand, context_tokens=CONTEXT_TOKENS, token_s=TOKEN_S)
+    return planner.plan(catalog.servers, catalog.models, workload).placements
--- a/basilwinch/exception.py
+++ b/basilwinch/exception.py
@@ -242,3 +242,6 @@
 
 # Settings.
 INVALID_SETTING = FailureKind("invalid_setting", 400, "A setting is not valid.")
+
+# Scenarios.
+SCENARIO_MALFORMED = FailureKind("scenario_malformed", 400, "The scenario cannot be read.")
--- /dev/null
+++ b/basilwinch/gateway/application.py
@@ -0,0 +1,259 @@
+"""The ASGI application for callers and operators."""
+
+from collections.abc import Callable
+
+import prometheus_client
+import structlog
+import trio
+
+from basilwinch.exception import (
+    DRAINING,
+    MALFORMED_REQUEST,
+    NOT_FOUND,
+    BasilwinchError,
+    CallerError,
+    Failure,
+)
+from basilwinch.gateway.chat import ChatHandler
+from basilwinch.gateway.exchange import CallerGone, Exchange
+from basilwinch.gateway.identity import KeyIndex, RequestIds
+from basilwinch.gateway.metrics import GatewayMetrics
+from basilwinch.gateway.plain import PlainHandler
+from basilwinch.record import Record
+
+__all__ = ["Gateway", "GatewayConfig", "NodeView"]
+
+
+class GatewayConfig(Record):
+    """Limits of the gateway.
+
+    :param body_limit: longest request body in bytes
+    :param body_timeout_s: longest time for a request body in seconds
+    :param deadline_s: deadline of a request that gives none, in seconds
+    """
+
+    __slots__ = ("body_limit", "body_timeout_s", "deadline_s")
+    _defaults = {"body_limit": 1 << 20, "body_timeout_s": 10.0, "deadline_s": 120.0}
+
+
+class NodeView(Record):
+    """What the gateway asks of its node, as functions without arguments.
+
+    :param catalog: returns the state in force
+    :param find_unready: returns a ``Failure`` while the node is not ready, else None
+    :param describe: returns the JSON document of ``/admin/state``
+    """
+
+    __slots__ = ("catalog", "find_unready", "describe")
+
+
+class Gateway:
+    """The ASGI application.
+
+    :param config: limits
+    :param node: view of the node
+    :param chat: answers chat requests
+    :param plain: answers calls to plain services
+    :param metrics: metrics of the gateway
+    :param ids: ids of requests
+
+    ``draining`` turns the node unready, ``refusing`` ends new requests with ``DRAINING``, and
+    ``open`` counts the requests in progress.
+    """
+
+    __slots__ = (
+        "config",
+        "node",
+        "chat",
+        "plain",
+        "metrics",
+        "ids",
+        "open",
+        "draining",
+        "refusing",
+        "_keys",
+        "_log",
+    )
+
+    def __init__(
+        self,
+        config: GatewayConfig,
+        node: NodeView,
+        chat: ChatHandler,
+        plain: PlainHandler,
+        metrics: GatewayMetrics,
+        ids: RequestIds,
+    ):
+        self.config = config
+        self.node = node
+        self.chat = chat
+        self.plain = plain
+        self.metrics = metrics
+        self.ids = ids
+        self.open = 0
+        self.draining = False
+        self.refusing = False
+        self._keys = KeyIndex()
+        self._log = structlog.get_logger("gateway")
+
+    async def __call__(self, scope: dict, receive: Callable, send: Callable) -> None:
+        """Serve one ASGI connection scope."""
+        if scope["type"] == "lifespan":
+            await _run_lifespan(receive, send)
+            return
+        if scope["type"] != "http":
+            return
+        exchange = Exchange(scope, receive, send)
+        if await self._answer_operator(exchange):
+            return
+        await self._answer_caller(exchange)
+
+    async def _answer_operator(self, exchange: Exchange) -> bool:
+        if exchange.method not in ("GET", "HEAD"):
+            return False
+        if exchange.path == "/healthz":
+            await exchange.respond_json(200, {"status": "ok"})
+        elif exchange.path == "/readyz":
+            failure = self._find_unready()
+            if failure is None:
+                await exchange.respond_json(200, {"status": "ready"})
+            else:
+                await exchange.respond_failure(failure)
+        elif exchange.path == "/metrics":
+            text = prometheus_client.generate_latest(self.metrics.registry)
+            content_type = prometheus_client.CONTENT_TYPE_LATEST.encode()
+            await exchange.respond(200, text, [(b"content-type", content_type)])
+        elif exchange.path == "/admin/state":
+            await exchange.respond_json(200, self.node.describe())
+        else:
+            return False
+        return True
+
+    def _find_unready(self) -> Failure | None:
+        if self.draining:
+            return DRAINING.because("the node was told to stop")
+        return self.node.find_unready()
+
+    async def _answer_caller(self, exchange: Exchange) -> None:
+        request_id = self.ids.next()
+        started = trio.current_time()
+        self.open += 1
+        self.metrics.open.inc()
+        code = "ok"
+        try:
+            code = await self._answer_safely(exchange, request_id)
+        except CallerGone:
+            code = "caller_gone"
+        finally:
+            self.open -= 1
+            self.metrics.open.dec()
+            self.metrics.requests.labels(_find_route(exchange.path), code).inc()
+            self._log.info(
+                "request",
+                request=request_id,
+                method=exchange.method,
+                path=exchange.path,
+                status=exchange.status,
+                code=code,
+                seconds=round(trio.current_time() - started, 6),
+            )
+
+    async def _answer_safely(self, exchange: Exchange, request_id: str) -> str:
+        try:
+            failure = await self._answer_route(exchange, request_id)
+        except BasilwinchError as error:
+            failure = error.failure
+        if failure is None:
+            return "ok"
+        if not exchange.started:
+            await exchange.respond_failure(failure)
+        return failure.code
+
+    async def _answer_route(self, exchange: Exchange, request_id: str) -> Failure | None:
+        if self.refusing:
+            return DRAINING.because("the node was told to stop", retry_after=1.0)
+        unready = self.node.find_unready()
+        if unready is not None:
+            return unready
+        catalog = self.node.catalog()
+        organisation = self._keys.find(catalog, exchange.header(b"authorization"))
+        if not organisation:
+            return organisation
+        deadline_s = _read_deadline(exchange, self.config.deadline_s)
+        if exchange.path == "/v1/models" and exchange.method == "GET":
+            await exchange.respond_json(200, _list_models(catalog, organisation))
+            return None
+        if exchange.path == "/v1/chat/completions" and exchange.method == "POST":
+            document = await exchange.read_json(self.config.body_limit, self.config.body_timeout_s)
+
+            async def answer() -> Failure | None:
+                return await self.chat.answer(
+                    exchange, request_id, organisation, document, deadline_s
+                )
+
+            return await _run_while_connected(exchange, answer)
+        if exchange.path.startswith("/services/"):
+            body = await exchange.read_body(self.config.body_limit, self.config.body_timeout_s)
+            return await self.plain.answer(exchange, request_id, organisation, body, deadline_s)
+        if exchange.path.startswith("/orders/") and exchange.method == "GET":
+            return await self.plain.look_up(exchange, organisation)
+        return NOT_FOUND.because(f"{exchange.method} {exchange.path}")
+
+
+async def _run_while_connected(exchange: Exchange, answer: Callable):
+    """Run ``answer`` and cancel it when the caller leaves, so that its slots are freed at once."""
+    outcome: list = []
+
+    async def watch(scope: trio.CancelScope) -> None:
+        await exchange.wait_gone()
+        scope.cancel()
+
+    async def run(scope: trio.CancelScope) -> None:
+        try:
+            outcome.append(await answer())
+        except BasilwinchError as error:
+            outcome.append(error.failure)
+        scope.cancel()
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(watch, nursery.cancel_scope)
+        nursery.start_soon(run, nursery.cancel_scope)
+    if not outcome:
+        raise CallerGone
+    return outcome[0]
+
+
+async def _run_lifespan(receive: Callable, send: Callable) -> None:
+    while True:
+        message = await receive()
+        await send({"type": message["type"] + ".complete"})
+        if message["type"] == "lifespan.shutdown":
+            return
+
+
+def _read_deadline(exchange: Exchange, default_s: float) -> float:
+    text = exchange.header(b"x-deadline-ms")
+    if not text:
+        return default_s
+    if not text.isdigit() or int(text) == 0:
+        reason = f"X-Deadline-Ms {text!r} is not a whole number of milliseconds above 0"
+        raise CallerError(MALFORMED_REQUEST.because(reason))
+    return int(text) / 1000
+
+
+def _list_models(catalog, organisation) -> dict:
+    names = (
+        n for n in sorted(catalog.models) if not organisation.models or n in organisation.models
+    )
+    data = [
+        {"id": name, "object": "model", "created": 0, "owned_by": "basilwinch"} for name in names
+    ]
+    return {"object": "list", "data": data}
+
+
+def _find_route(path: str) -> str:
+    """Return a route of few distinct values, because it is a metric label."""
+    for prefix in ("/v1/chat/completions", "/v1/models", "/services/", "/orders/"):
+        if path.startswith(prefix):
+            return prefix
+    return "other"
--- /dev/null
+++ b/basilwinch/gateway/plain.py
@@ -0,0 +1,126 @@
+"""Answers calls to plain services and questions about orders."""
+
+from collections.abc import Callable
+from functools import singledispatchmethod
+
+import trio
+
+from basilwinch.catalog import Catalog, Organisation, ServiceKind
+from basilwinch.exception import MALFORMED_REQUEST, NOT_FOUND, UNKNOWN_SERVICE, Failure
+from basilwinch.gateway.exchange import Exchange, error_document
+from basilwinch.order import OrderDone, OrderNotRun, OrderRequest, OrderRunner, OrderUnknown
+from basilwinch.server import ServiceCall, ServiceReply
+from basilwinch.service import ServiceDispatcher
+
+__all__ = ["PlainHandler"]
+
+MAX_ORDER_ID = 200
+# The key of the organisation is for the router; servers get its name instead.
+_DROPPED_HEADERS = frozenset((b"authorization", b"x-basilwinch-organisation"))
+
+
+class PlainHandler:
+    """Routes calls to plain services; non-idempotent ones become orders.
+
+    :param dispatcher: sends idempotent calls
+    :param orders: runs non-idempotent calls at most once
+    :param find_catalog: returns the state in force
+    """
+
+    __slots__ = ("_dispatcher", "_orders", "_find_catalog")
+
+    def __init__(
+        self,
+        dispatcher: ServiceDispatcher,
+        orders: OrderRunner,
+        find_catalog: Callable[[], Catalog],
+    ):
+        self._dispatcher = dispatcher
+        self._orders = orders
+        self._find_catalog = find_catalog
+
+    async def answer(
+        self,
+        exchange: Exchange,
+        request_id: str,
+        organisation: Organisation,
+        body: bytes,
+        deadline_s: float,
+    ) -> Failure | None:
+        """Answer a call under ``/services/{service}/{path}``.
+
+        :param deadline_s: time left in seconds
+        :returns: None, or the failure if nothing was sent yet
+        """
+        name, _, rest = exchange.path.removeprefix("/services/").partition("/")
+        service = self._find_catalog().services.get(name)
+        if service is None or service.kind is not ServiceKind.PLAIN:
+            return UNKNOWN_SERVICE.because(f"no plain service {name!r}")
+        path = "/" + rest
+        call = _build_call(exchange, path, organisation, body)
+        if service.is_idempotent(exchange.method, path):
+            reply = await self._dispatcher.call(name, call, deadline_s)
+            if isinstance(reply, Failure):
+                return reply
+            await exchange.respond(reply.status, reply.body, reply.headers)
+            return None
+        return await self._run_order(exchange, request_id, organisation, name, call)
+
+    async def _run_order(
+        self, exchange, request_id: str, organisation: Organisation, service: str, call: ServiceCall
+    ) -> Failure | None:
+        order_id = exchange.header(b"idempotency-key").strip() or request_id
+        if len(order_id) > MAX_ORDER_ID:
+            return MALFORMED_REQUEST.because(f"Idempotency-Key is over {MAX_ORDER_ID} characters")
+        servers = self._dispatcher.candidates(service, trio.current_time())
+        order = OrderRequest(organisation.name, order_id, service, tuple(servers), call)
+        outcome = await self._orders.run(order)
+        await self._respond(outcome, exchange, order_id)
+        return None
+
+    async def look_up(self, exchange: Exchange, organisation: Organisation) -> Failure | None:
+        """Answer a question about an order under ``/orders/{id}``."""
+        order_id = exchange.path.removeprefix("/orders/")
+        outcome = await self._orders.look_up(organisation.name, order_id)
+        if outcome is None:
+            return NOT_FOUND.because(f"no order {order_id!r} of {organisation.name}")
+        await self._respond(outcome, exchange, order_id)
+        return None
+
+    @singledispatchmethod
+    async def _respond(self, outcome, exchange: Exchange, order_id: str) -> None:
+        raise TypeError(f"no response for {type(outcome).__name__}")
+
+    @_respond.register
+    async def _(self, outcome: OrderDone, exchange: Exchange, order_id: str) -> None:
+        reply: ServiceReply = outcome.reply
+        headers = [*reply.headers, *_outcome_headers(order_id, b"done")]
+        await exchange.respond(reply.status, reply.body, headers)
+
+    @_respond.register
+    async def _(self, outcome: OrderNotRun, exchange: Exchange, order_id: str) -> None:
+        await exchange.respond_failure(outcome.failure, _outcome_headers(order_id, b"not-run"))
+
+    @_respond.register
+    async def _(self, outcome: OrderUnknown, exchange: Exchange, order_id: str) -> None:
+        document = error_document(outcome.failure)
+        document["order"] = {"id": order_id, "outcome": "unknown", "look_up": f"/orders/{order_id}"}
+        headers = _outcome_headers(order_id, b"unknown")
+        await exchange.respond_json(outcome.failure.kind.status, document, headers)
+
+
+def _build_call(
+    exchange: Exchange, path: str, organisation: Organisation, body: bytes
+) -> ServiceCall:
+    headers = [pair for pair in exchange.headers if pair[0].lower() not in _DROPPED_HEADERS]
+    headers.append((b"x-basilwinch-organisation", organisation.name.encode()))
+    if exchange.query:
+        path = f"{path}?{exchange.query.decode('latin-1')}"
+    return ServiceCall(exchange.method, path, tuple(headers), body)
+
+
+def _outcome_headers(order_id: str, outcome: bytes) -> list[tuple[bytes, bytes]]:
+    return [
+        (b"x-basilwinch-order", order_id.encode()),
+        (b"x-basilwinch-outcome", outcome),
+    ]
--- /dev/null
+++ b/basilwinch/scenario/language.py
@@ -0,0 +1,113 @@
+"""The scenario language: one step a line, matched against a table of patterns."""
+
+import shlex
+
+from basilwinch.exception import SCENARIO_MALFORMED, Failure
+from basilwinch.record import Record
+
+__all__ = ["Pattern", "Scenario", "Step", "parse_scenario"]
+
+_NUMBERS = ("SECONDS", "RATE", "FACTOR", "SHARE")
+_COUNTS = ("COUNT", "TOKENS")
+
+
+class Pattern(Record):
+    """A form of a step.
+
+    Lower-case words stand for themselves, upper-case words for arguments; ``COUNT`` and ``TOKENS``
+    take whole numbers, ``SECONDS``, ``RATE``, ``FACTOR`` and ``SHARE`` numbers, others any text.
+
+    :param words: the words, a tuple
+    :param action: function that carries the step out, called with the world and the arguments
+    """
+
+    __slots__ = ("words", "action")
+
+    def match(self, words: list[str]) -> list | None:
+        """Return the arguments if the words have this form, else None.
+
+        >>> Pattern(("kill", "server", "NAME"), None).match(["kill", "server", "s1"])
+        ['s1']
+        >>> Pattern(("wait", "SECONDS"), None).match(["wait", "long"]) is None
+        True
+        """
+        if len(words) != len(self.words):
+            return None
+        arguments = []
+        for expected, word in zip(self.words, words, strict=True):
+            if not expected.isupper():
+                if word != expected:
+                    return None
+                continue
+            value = _convert(expected, word)
+            if value is None:
+                return None
+            arguments.append(value)
+        return arguments
+
+
+class Step(Record):
+    """One step of a scenario.
+
+    :param line: number of its line
+    :param text: the line as written
+    :param pattern: its form
+    :param arguments: values of the arguments
+    """
+
+    __slots__ = ("line", "text", "pattern", "arguments")
+
+
+class Scenario(Record):
+    """A parsed scenario; ``title`` is its first comment line."""
+
+    __slots__ = ("title", "steps")
+
+
+def parse_scenario(text: str, patterns) -> "Scenario | Failure":
+    """Parse a scenario.
+
+    :param text: content of the file
+    :param patterns: the :class:`Pattern` values that the language has
+    :returns: a scenario, or ``SCENARIO_MALFORMED`` with the line and what is allowed there
+    """
+    title, steps = "", []
+    for number, line in enumerate(text.splitlines(), start=1):
+        if line.startswith("#") and not title:
+            title = line.lstrip("# ").strip()
+        try:
+            words = shlex.split(line, comments=True)
+        except ValueError as error:
+            return SCENARIO_MALFORMED.because(f"line {number}: {error}", line=number)
+        if not words:
+            continue
+        step = _match_step(number, line, words, patterns)
+        if isinstance(step, Failure):
+            return step
+        steps.append(step)
+    return Scenario(title, tuple(steps))
+
+
+def _match_step(number: int, line: str, words: list[str], patterns) -> Step | Failure:
+    for pattern in patterns:
+        arguments = pattern.match(words)
+        if arguments is not None:
+            return Step(number, line.strip(), pattern, tuple(arguments))
+    forms = [" ".join(pattern.words) for pattern in patterns if pattern.words[0] == words[0]]
+    if not forms:
+        allowed = ", ".join(sorted({pattern.words[0] for pattern in patterns}))
+        reason = f"line {number}: unknown word {words[0]!r}; expected one of {allowed}"
+    else:
+        reason = f"line {number}: {line.strip()!r}; expected {' or '.join(map(repr, forms))}"
+    return SCENARIO_MALFORMED.because(reason, line=number)
+
+
+def _convert(kind: str, word: str):
+    try:
+        if kind in _COUNTS:
+            return int(word)
+        if kind in _NUMBERS:
+            return float(word)
+    except ValueError:
+        return None
+    return word
