Run the daemon as a module in make run

Cause: the editable install points at whichever checkout installed last, so the console script failed in another checkout with 'No module named basilwinch.daemon'. Change: make run calls python -m basilwinch.daemon from the checkout.

--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 	touch $@
 
 run: setup
-	$(BIN)/basilwinchd --embedded
+	$(BIN)/python -m basilwinch.daemon --embedded
 
 lint: setup
 	$(BIN)/python -m black --check -q $(TREES)
