Add membership: packets, failure detection and spread of revisions

Cause: nodes must learn of each other and of each accepted revision without a second coordination service and within 2 KB/s.

Change: capnp schema and codec, HMAC packets bound to the receiver's process, SWIM-like detection, push-pull of revisions on the probes, watch by rendezvous hash, exchanges with a byte budget.

--- a/basilwinch/exception.py
+++ b/basilwinch/exception.py
@@ -186,3 +186,20 @@
 
 # Settings.
 INVALID_SETTING = FailureKind("invalid_setting", 400, "A setting is not valid.")
+
+# Messages between nodes.
+MALFORMED_PACKET = FailureKind("malformed_packet", 400, "A packet cannot be decoded.")
+OVERSIZED_PACKET = FailureKind("oversized_packet", 400, "A packet is over the size limit.")
+UNSUPPORTED_VERSION = FailureKind(
+    "unsupported_version", 400, "A packet has another protocol version."
+)
+WRONG_CLUSTER = FailureKind("wrong_cluster", 400, "A packet belongs to another cluster.")
+UNKNOWN_PACKET_KEY = FailureKind("unknown_packet_key", 400, "A packet is signed with no valid key.")
+WRONG_MAC = FailureKind("wrong_mac", 400, "The MAC of a packet is not right.")
+REPLAYED_PACKET = FailureKind("replayed_packet", 400, "A packet was seen before.")
+STALE_SENDER = FailureKind("stale_sender", 400, "A packet is from a former process of its sender.")
+WRONG_DESTINATION = FailureKind(
+    "wrong_destination", 400, "A packet was meant for another process than this one."
+)
+UNKNOWN_PAYLOAD = FailureKind("unknown_payload", 400, "A message carries a payload of no known kind.")
+PEER_UNREACHABLE = FailureKind("peer_unreachable", 502, "A peer does not answer a fetch.", True)
--- /dev/null
+++ b/basilwinch/membership/__init__.py
@@ -0,0 +1,25 @@
+"""Messages between nodes: failure detection, spread of revisions, exchange of payloads."""
+
+from basilwinch.membership.config import MembershipConfig
+from basilwinch.membership.exchange import Exchange
+from basilwinch.membership.memory import MemoryNetwork
+from basilwinch.membership.membership import Membership
+from basilwinch.membership.message import Member, MemberState
+from basilwinch.membership.packet import Keyring
+from basilwinch.membership.spread import Replica
+from basilwinch.membership.transport import Transport, UdpTransport
+from basilwinch.membership.watch import RevisionSource
+
+__all__ = [
+    "Exchange",
+    "Keyring",
+    "Member",
+    "MemberState",
+    "Membership",
+    "MembershipConfig",
+    "MemoryNetwork",
+    "Replica",
+    "RevisionSource",
+    "Transport",
+    "UdpTransport",
+]
--- /dev/null
+++ b/basilwinch/membership/codec.py
@@ -0,0 +1,155 @@
+"""Bytes of messages: capnp, packed."""
+
+import pathlib
+import zlib
+
+import capnp
+
+from basilwinch.exception import MALFORMED_PACKET, Failure
+from basilwinch.membership.message import Kind, MemberState, Message, Update
+
+__all__ = ["decode_body", "deflate", "encode_body", "inflate", "schema"]
+
+schema = capnp.load(str(pathlib.Path(__file__).with_name("schema.capnp")))
+
+# 64 MB of words: a whole state at the design size is about 6 MB.
+_TRAVERSAL_WORDS = 8 * 1024 * 1024
+_STATES = {state.value: state for state in MemberState}
+_KINDS = {kind.value: kind for kind in Kind}
+
+
+def deflate(data: bytes) -> bytes:
+    """Compress without header and checksum; the packet's MAC covers integrity."""
+    packer = zlib.compressobj(6, zlib.DEFLATED, -15)
+    return packer.compress(data) + packer.flush()
+
+
+def inflate(data: bytes, limit: int) -> bytes | Failure:
+    """Expand what :func:`deflate` made.
+
+    :param limit: largest size accepted, in bytes
+    :returns: the data, or ``MALFORMED_PACKET``
+
+    >>> inflate(deflate(b"abc"), 3)
+    b'abc'
+    >>> inflate(deflate(b"abc"), 2)
+    Failure(malformed_packet: compressed data expands past 2 bytes)
+    """
+    unpacker = zlib.decompressobj(-15)
+    try:
+        plain = unpacker.decompress(data, limit + 1)
+    except zlib.error as error:
+        return MALFORMED_PACKET.because(f"compressed data: {error}")
+    if len(plain) > limit:
+        return MALFORMED_PACKET.because(f"compressed data expands past {limit} bytes")
+    if not unpacker.eof:
+        return MALFORMED_PACKET.because("compressed data ends early")
+    return plain
+
+
+def _write_updates(builders, updates) -> None:
+    for builder, update in zip(builders, updates, strict=True):
+        builder.node = update.node
+        builder.life = update.life
+        builder.incarnation = update.incarnation
+        builder.state = int(update.state)
+        builder.leaving = update.leaving
+        if update.name:
+            builder.name = update.name
+            builder.address = update.address
+            builder.zone = update.zone
+            builder.region = update.region
+
+
+def _read_update(reader) -> Update:
+    name = reader.name
+    details = (name, reader.address, reader.zone, reader.region) if name else ()
+    state = _STATES[reader.state]
+    return Update(reader.node, reader.life, reader.incarnation, state, reader.leaving, *details)
+
+
+def encode_body(message: Message, compressed: bytes = b"") -> bytes:
+    """Encode a message. Linear in its size.
+
+    :param compressed: the delta or state as :func:`deflate` gives it; ``message.delta`` is not read
+    """
+    body = schema.Body.new_message()
+    body.revision = message.revision
+    body.ready = message.ready
+    body.roster = message.roster
+    if message.large:
+        body.large = True
+    kind = message.kind
+    if kind is Kind.FETCH_REPLY:
+        reply = body.init("fetchReply")
+        _write_updates(reply.init("members", len(message.updates)), message.updates)
+        reply.state = compressed
+        return body.to_bytes_packed()
+    if message.updates:
+        _write_updates(body.init("updates", len(message.updates)), message.updates)
+    if compressed:
+        body.delta = compressed
+    if message.payloads:
+        builders = body.init("payloads", len(message.payloads))
+        for builder, (number, data) in zip(builders, message.payloads, strict=True):
+            builder.kind = number
+            builder.data = data
+    if kind is Kind.PING:
+        body.init("ping").probe = message.probe
+    elif kind is Kind.ACK:
+        ack = body.init("ack")
+        ack.probe = message.probe
+        if message.about:
+            ack.about = message.about
+    elif kind is Kind.PING_REQ:
+        request = body.init("pingReq")
+        request.probe = message.probe
+        request.target = message.about
+    elif kind is Kind.FETCH_REQUEST:
+        request = body.init("fetchRequest")
+        request.since = message.since
+        request.members = message.members
+    return body.to_bytes_packed()
+
+
+def decode_body(data: bytes, delta_limit: int) -> Message | Failure:
+    """Decode a message. Linear in its size.
+
+    :param delta_limit: largest size of the expanded delta or state, in bytes
+    :returns: the message, or ``MALFORMED_PACKET``
+    """
+    try:
+        return _decode(data, delta_limit)
+    except (capnp.KjException, KeyError, ValueError, UnicodeDecodeError) as error:
+        return MALFORMED_PACKET.because(f"body: {str(error)[:200]}")
+
+
+def _decode(data: bytes, delta_limit: int) -> Message | Failure:
+    body = schema.Body.from_bytes_packed(data, traversal_limit_in_words=_TRAVERSAL_WORDS)
+    kind = _KINDS[str(body.which())]
+    message = Message(kind, body.revision, body.ready, body.large, body.roster)
+    if kind is Kind.FETCH_REPLY:
+        reply = body.fetchReply
+        message.updates = tuple(map(_read_update, reply.members))
+        compressed = reply.state
+    else:
+        message.updates = tuple(map(_read_update, body.updates))
+        message.payloads = tuple((item.kind, bytes(item.data)) for item in body.payloads)
+        compressed = body.delta
+    if compressed:
+        plain = inflate(compressed, delta_limit)
+        if isinstance(plain, Failure):
+            return plain
+        message.delta = plain
+    if kind is Kind.PING:
+        message.probe = body.ping.probe
+    elif kind is Kind.ACK:
+        message.probe = body.ack.probe
+        message.about = body.ack.about
+    elif kind is Kind.PING_REQ:
+        message.probe = body.pingReq.probe
+        message.about = body.pingReq.target
+    elif kind is Kind.FETCH_REQUEST:
+        message.since = body.fetchRequest.since
+        message.members = body.fetchRequest.members
+    return message
--- /dev/null
+++ b/basilwinch/membership/exchange.py
@@ -0,0 +1,93 @@
+"""Data of other packages that travels with the messages between nodes."""
+
+from random import Random
+from typing import Protocol
+
+from basilwinch.exception import UNKNOWN_PAYLOAD, Failure
+from basilwinch.membership.budget import ByteBudget
+
+__all__ = ["Exchange", "Exchanges"]
+
+# Id and lengths of a payload in a packed message.
+_OVERHEAD = 6
+_MIN_SIZE = 16
+# Largest payload of one exchange in one message.
+_MAX_SIZE = 256
+
+
+class Exchange(Protocol):
+    """A payload between nodes, e.g. limit usage or suspect requests.
+
+    :ivar kind: number of the payload, 1 to 255, the same on all nodes
+    :ivar bytes_per_s: budget, sent plus received
+    """
+
+    kind: int
+    bytes_per_s: float
+
+    def export(self, limit: int, now: float) -> bytes:
+        """Return the data most worth sending, at most ``limit`` bytes; empty for nothing."""
+
+    def absorb(self, node: str, data: bytes, now: float) -> bool | Failure:
+        """Take data in from a node; returns whether it is news that is worth passing on at once."""
+
+
+class Exchanges:
+    """All exchanges of a node and their budgets.
+
+    :param rng: source of randomness
+    """
+
+    __slots__ = ("_budgets", "_exchanges", "_rng", "urgent")
+
+    def __init__(self, rng: Random):
+        self._exchanges: dict[int, Exchange] = {}
+        self._budgets: dict[int, ByteBudget] = {}
+        self._rng = rng
+        self.urgent = False
+
+    def add(self, exchange: Exchange) -> None:
+        """Add an exchange.
+
+        :raises ValueError: if its kind is taken
+        """
+        if exchange.kind in self._exchanges:
+            raise ValueError(f"payload kind {exchange.kind} is taken")
+        self._exchanges[exchange.kind] = exchange
+        self._budgets[exchange.kind] = ByteBudget(exchange.bytes_per_s, 2.0)
+
+    def export(self, room: int, now: float) -> tuple:
+        """Return payloads for one message.
+
+        :param room: bytes left in the message
+        """
+        payloads = []
+        for kind, exchange in self._exchanges.items():
+            limit = min(room, self._budgets[kind].left(now), _MAX_SIZE) - _OVERHEAD
+            if limit < _MIN_SIZE:
+                continue
+            data = exchange.export(limit, now)
+            if data:
+                payloads.append((kind, data))
+                self._budgets[kind].spend(len(data) + _OVERHEAD, now)
+                room -= len(data) + _OVERHEAD
+        return tuple(payloads)
+
+    def absorb(self, node: str, payloads: tuple, now: float) -> list[Failure]:
+        """Take payloads in.
+
+        :returns: failures, empty if all were understood
+        """
+        failures = []
+        for kind, data in payloads:
+            exchange = self._exchanges.get(kind)
+            if exchange is None:
+                failures.append(UNKNOWN_PAYLOAD.because(f"payload kind {kind}"))
+                continue
+            self._budgets[kind].spend(len(data) + _OVERHEAD, now)
+            news = exchange.absorb(node, data, now)
+            if isinstance(news, Failure):
+                failures.append(news)
+            elif news:
+                self.urgent = True
+        return failures
--- /dev/null
+++ b/basilwinch/membership/packet.py
@@ -0,0 +1,241 @@
+"""Authenticated packets: keys, MAC, replay protection."""
+
+import hashlib
+import hmac
+import struct
+
+import capnp
+
+from basilwinch.exception import (
+    INVALID_SETTING,
+    MALFORMED_PACKET,
+    OVERSIZED_PACKET,
+    REPLAYED_PACKET,
+    UNKNOWN_PACKET_KEY,
+    UNSUPPORTED_VERSION,
+    WRONG_CLUSTER,
+    WRONG_MAC,
+    Failure,
+)
+from basilwinch.membership.codec import schema
+from basilwinch.record import Record
+
+__all__ = ["Keyring", "MAX_DATAGRAM", "Packet", "PacketReader", "ReplayWindow", "Sealer"]
+
+VERSION = 1
+# Fits the minimum MTU of IPv6 (1280) with IP and UDP headers, so that no datagram is fragmented.
+MAX_DATAGRAM = 1200
+_HEADER = struct.Struct("<BBIQQII")
+_MAC = struct.Struct("<QQ")
+_WINDOW = 64
+
+
+class Packet(Record):
+    """An authentic packet; ``body`` is not decoded yet."""
+
+    __slots__ = ("sender", "life", "sequence", "destination", "body")
+
+
+class Keyring:
+    """Keys for packets. The first one signs; all of them verify.
+
+    :param keys: secrets by id (1 to 255), in order
+    """
+
+    __slots__ = ("signing", "secrets")
+
+    def __init__(self, keys: dict[int, bytes]):
+        self.signing = next(iter(keys))
+        self.secrets = dict(keys)
+
+    @classmethod
+    def from_setting(cls, text: str) -> "Keyring | Failure":
+        """Read ``id:hex`` pairs separated by commas, the signing key first.
+
+        :returns: a keyring, or ``INVALID_SETTING``
+
+        >>> Keyring.from_setting("2:" + "ab" * 16 + ",1:" + "cd" * 16).signing
+        2
+        >>> Keyring.from_setting("1:abcd")
+        Failure(invalid_setting: packet key 1 has fewer than 16 bytes)
+        """
+        keys = {}
+        for pair in text.split(","):
+            number, _, secret = pair.strip().partition(":")
+            try:
+                keys[int(number)] = bytes.fromhex(secret)
+            except ValueError:
+                return INVALID_SETTING.because("packet keys are not of the form id:hex,id:hex")
+            if not 1 <= int(number) <= 255:
+                return INVALID_SETTING.because(f"packet key id {number} is not within 1 to 255")
+            if len(secret) < 32:
+                return INVALID_SETTING.because(f"packet key {number} has fewer than 16 bytes")
+        if len(keys) > 2:
+            return INVALID_SETTING.because("more than two packet keys")
+        return cls(keys)
+
+
+def _derive(cluster: str, secret: bytes) -> bytes:
+    return hmac.digest(secret, b"basilwinch packet\0" + cluster.encode(), "sha256")
+
+
+def _cluster_digest(cluster: str) -> int:
+    return int.from_bytes(hashlib.blake2b(cluster.encode(), digest_size=4).digest())
+
+
+def _mac(key: bytes, header: bytes, body: bytes) -> tuple[int, int]:
+    return _MAC.unpack_from(hmac.digest(key, header + body, "sha256"))
+
+
+class Sealer:
+    """Makes the packets of one node.
+
+    :param cluster: name of the cluster; it takes part in the MAC key
+    :param keyring: :class:`Keyring`
+    :param sender: id of the node
+    :param life: start time of the process in microseconds
+    """
+
+    __slots__ = ("_cluster", "_cluster_name", "_key", "_key_id", "sender", "life", "sequence")
+
+    def __init__(self, cluster: str, keyring: Keyring, sender: int, life: int):
+        self._cluster_name = cluster
+        self._cluster = _cluster_digest(cluster)
+        self.sender = sender
+        self.life = life
+        self.sequence = 0
+        self.use_keys(keyring)
+
+    def use_keys(self, keyring: Keyring) -> None:
+        """Sign with another key from now on."""
+        self._key_id = keyring.signing
+        self._key = _derive(self._cluster_name, keyring.secrets[keyring.signing])
+
+    def seal(self, body: bytes, destination: int) -> bytes:
+        """Return the packet for a body.
+
+        :param destination: life of the receiver, 0 if it is not known
+        """
+        self.sequence = (self.sequence + 1) & 0xFFFFFFFF
+        destination &= 0xFFFFFFFF
+        header = _HEADER.pack(
+            VERSION,
+            self._key_id,
+            self._cluster,
+            self.sender,
+            self.life,
+            self.sequence,
+            destination,
+        )
+        high, low = _mac(self._key, header, body)
+        return schema.Envelope.new_message(
+            version=VERSION,
+            keyId=self._key_id,
+            cluster=self._cluster,
+            sender=self.sender,
+            life=self.life,
+            sequence=self.sequence,
+            destination=destination,
+            macHigh=high,
+            macLow=low,
+            body=body,
+        ).to_bytes_packed()
+
+
+class PacketReader:
+    """Checks packets.
+
+    :param cluster: name of the cluster
+    :param keyring: :class:`Keyring`
+    """
+
+    __slots__ = ("_cluster", "_cluster_name", "_keys")
+
+    def __init__(self, cluster: str, keyring: Keyring):
+        self._cluster_name = cluster
+        self._cluster = _cluster_digest(cluster)
+        self.use_keys(keyring)
+
+    def use_keys(self, keyring: Keyring) -> None:
+        """Accept the keys of another keyring, and only these, from now on."""
+        self._keys = {
+            number: _derive(self._cluster_name, secret)
+            for number, secret in keyring.secrets.items()
+        }
+
+    def open(self, data: bytes, limit: int = MAX_DATAGRAM) -> Packet | Failure:
+        """Check a packet. Linear in its size.
+
+        :param limit: largest size accepted, in bytes. Packed data can expand 1000-fold, so the
+            limit also bounds the memory that a hostile packet takes.
+        :returns: the packet, or a failure that names the reason
+        """
+        if len(data) > limit:
+            return OVERSIZED_PACKET.because(f"{len(data)} bytes, at most {limit}")
+        try:
+            envelope = schema.Envelope.from_bytes_packed(data)
+            version = envelope.version
+            key_id = envelope.keyId
+            cluster = envelope.cluster
+            packet = Packet(
+                envelope.sender,
+                envelope.life,
+                envelope.sequence,
+                envelope.destination,
+                bytes(envelope.body),
+            )
+            mac = (envelope.macHigh, envelope.macLow)
+        except (capnp.KjException, ValueError) as error:
+            return MALFORMED_PACKET.because(f"envelope: {str(error)[:200]}")
+        if version != VERSION:
+            return UNSUPPORTED_VERSION.because(f"version {version}")
+        if cluster != self._cluster:
+            return WRONG_CLUSTER.because(f"cluster digest {cluster:08x}")
+        key = self._keys.get(key_id)
+        if key is None:
+            return UNKNOWN_PACKET_KEY.because(f"key id {key_id}")
+        header = _HEADER.pack(
+            version,
+            key_id,
+            cluster,
+            packet.sender,
+            packet.life,
+            packet.sequence,
+            packet.destination,
+        )
+        if not hmac.compare_digest(_MAC.pack(*_mac(key, header, packet.body)), _MAC.pack(*mac)):
+            return WRONG_MAC.because(f"key id {key_id}")
+        return packet
+
+
+class ReplayWindow:
+    """Sequence numbers seen from one life of one sender: the last 64 and the largest.
+
+    >>> window = ReplayWindow(7)
+    >>> window.admit(5), window.admit(4)
+    (None, None)
+    >>> window.admit(5)
+    Failure(replayed_packet: sequence 5, largest seen 5)
+    """
+
+    __slots__ = ("life", "_largest", "_seen")
+
+    def __init__(self, life: int):
+        self.life = life
+        self._largest = 0
+        self._seen = 0
+
+    def admit(self, sequence: int) -> Failure | None:
+        """Note a sequence number.
+
+        :returns: None if it is new, or ``REPLAYED_PACKET``
+        """
+        ahead = sequence - self._largest
+        if ahead > 0:
+            self._seen = ((self._seen << ahead) | 1) & ((1 << _WINDOW) - 1) if ahead < _WINDOW else 1
+            self._largest = sequence
+            return None
+        if -ahead >= _WINDOW or self._seen >> -ahead & 1:
+            return REPLAYED_PACKET.because(f"sequence {sequence}, largest seen {self._largest}")
+        self._seen |= 1 << -ahead
+        return None
--- /dev/null
+++ b/basilwinch/membership/seeds.py
@@ -0,0 +1,51 @@
+"""Addresses of nodes to start from: settings and the platform's list of VMs."""
+
+from random import Random
+
+import trio
+
+from basilwinch.exception import PlatformError
+from basilwinch.membership.config import MembershipConfig
+from basilwinch.platform import VmList, VmState
+
+__all__ = ["Seeds"]
+
+
+class Seeds:
+    """Candidate addresses. The VM list lags and may name VMs that are not nodes, so an address only
+    earns a ping; the answer decides.
+
+    :param config: :class:`MembershipConfig`
+    :param vm_list: :class:`~basilwinch.platform.VmList` or None
+    :param rng: source of randomness
+    """
+
+    __slots__ = ("_config", "_listed", "_rng", "_vm_list")
+
+    def __init__(self, config: MembershipConfig, vm_list: VmList | None, rng: Random):
+        self._config = config
+        self._vm_list = vm_list
+        self._rng = rng
+        self._listed: tuple = ()
+
+    async def run(self) -> None:
+        """Read the VM list now and then, until cancelled."""
+        while self._vm_list:
+            try:
+                with trio.move_on_after(self._config.platform_timeout_s):
+                    entries = await self._vm_list.snapshot()
+                    self._listed = tuple(
+                        entry.address for entry in entries if entry.state == VmState.LIVE
+                    )
+            except PlatformError:
+                pass  # The last list stays in use.
+            await trio.sleep(self._config.vm_list_s * (0.5 + self._rng.random()))
+
+    def choose(self, known: set, count: int) -> list[str]:
+        """Return some addresses to ping. Linear in the number of addresses.
+
+        :param known: addresses that need no ping
+        :param count: number of addresses at most
+        """
+        candidates = {*self._config.peers, *self._listed} - known - {self._config.address}
+        return self._rng.sample(sorted(candidates), min(count, len(candidates)))
