--- a/basilwinch/standin/batching.py
+++ b/basilwinch/standin/batching.py
@@ -112,9 +112,10 @@
             return
         for stage in sequence.spans:
             state = self.states[stage.server]
-            layer_s = (stage.end - stage.first) * state.layer_s
+            layers = stage.end - stage.first
             sequence.engines.append(state)
-            sequence.decode_s.append(layer_s * (1 - self.settings.fixed_share))
+            sequence.layers.append(layers)
+            sequence.decode_s.append(layers * state.layer_s * (1 - self.settings.fixed_share))
             known = self.caches.known_tokens(state, sequence, stage)
             sequence.pending.append(max(1, sequence.known_tokens - known))
             state.resident[id(sequence)] = sequence
@@ -135,41 +136,52 @@
                 return SERVER_REFUSED.because(f"{stage.server} is full", server=stage.server)
         return None
 
+    def _send(self, group: list[Sequence], target: EngineState, arrival: float) -> None:
+        """Let sequences arrive at a server.
+
+        Arrivals during a step can only join the next one, so they need no event of their own.
+        """
+        if target.busy and arrival <= target.busy_until:
+            self._enqueue(group, target, target.epoch)
+        else:
+            self.timeline.at(arrival, self._enqueue, group, target, target.epoch)
+
     def _enqueue(self, group: list[Sequence], state: EngineState, epoch: int) -> None:
         if state.epoch != epoch or not state.alive:
             return
+        ready = state.ready
         for sequence in group:
-            if sequence.ended:
-                continue
-            queue = state.ready.get(sequence.call.priority)
+            queue = ready.get(sequence.priority)
             if queue is None:
-                queue = state.ready[sequence.call.priority] = deque()
-                state.ready = dict(sorted(state.ready.items(), reverse=True))
+                queue = ready[sequence.priority] = deque()
+                ready = state.ready = dict(sorted(ready.items(), reverse=True))
             queue.append(sequence)
-            state.ready_count += 1
+        state.ready_count += len(group)
         if not state.busy:
             self._start_step(state)
 
     def _start_step(self, state: EngineState) -> None:
         settings = self.settings
         batch = []
+        room = settings.max_batch
         chunk = settings.prefill_chunk
         layers = 0
         work = 0.0
+        taken = 0
         for queue in state.ready.values():
             # Prompts that find no room in this step's chunk wait behind the decoding sequences.
             held_back = []
-            while queue and len(batch) < settings.max_batch:
+            while queue and room:
                 sequence = queue.popleft()
                 if sequence.ended:
-                    state.ready_count -= 1
+                    taken += 1
                     continue
                 index = sequence.index
-                pending = sequence.pending[index]
-                if pending:
+                if sequence.prefilling:
                     if not chunk:
                         held_back.append(sequence)
                         continue
+                    pending = sequence.pending[index]
                     used = min(chunk, pending)
                     chunk -= used
                     sequence.pending[index] = pending - used
@@ -177,20 +189,21 @@
                     work += sequence.decode_s[index] * settings.prefill_share * used
                 else:
                     work += sequence.decode_s[index]
-                span = sequence.spans[index]
-                layers = max(layers, span.end - span.first)
+                if sequence.layers[index] > layers:
+                    layers = sequence.layers[index]
                 batch.append(sequence)
-            queue.extendleft(reversed(held_back))
-        state.ready_count -= len(batch)
+                room -= 1
+            if held_back:
+                queue.extendleft(reversed(held_back))
+        state.ready_count -= len(batch) + taken
         if not batch:
             return
         fixed = layers * state.layer_s * settings.fixed_share * settings.max_batch
         step_s = (fixed + work) * state.slowdown
         state.busy = True
         state.batch_size = len(batch)
-        self.timeline.at(
-            self.timeline.now + step_s, self._end_step, state, batch, step_s, state.epoch
-        )
+        end = state.busy_until = self.timeline.now + step_s
+        self.timeline.at(end, self._end_step, state, batch, step_s, state.epoch)
 
     def _end_step(self, state: EngineState, batch: list, step_s: float, epoch: int) -> None:
         if state.epoch != epoch:
@@ -209,50 +222,47 @@
                 continue
             sequence.engine_s += step_s
             index = sequence.index
-            if sequence.pending[index]:
-                again.append(sequence)
-                continue
-            if sequence.position == sequence.call.resume_from:
+            if sequence.prefilling:
+                if sequence.pending[index]:
+                    again.append(sequence)
+                    continue
                 if CRASH_MARK in sequence.call.prompt:
                     self.kill(state.name)
                     return
                 self.caches.store(state, sequence, now)
-            if index + 1 == len(sequence.spans):
+            index += 1
+            if index == len(sequence.engines):
                 done.append(sequence)
                 continue
-            sequence.index = index + 1
-            target = sequence.engines[index + 1]
-            key = (target, target.epoch)
-            if key in onward:
-                onward[key].append(sequence)
+            sequence.index = index
+            target = sequence.engines[index]
+            moved = sequence.pending[index] if sequence.prefilling else 1
+            group = onward.get(target)
+            if group is None:
+                onward[target] = [[sequence], moved]
             else:
-                onward[key] = [sequence]
-        for (target, target_epoch), group in onward.items():
-            tokens = sum(self._moved_tokens(sequence) for sequence in group)
-            delay = self.network.transfer(state.name, target.name, tokens)
-            self.timeline.at(now + delay, self._enqueue, group, target, target_epoch)
+                group[0].append(sequence)
+                group[1] += moved
+        for target, (group, moved) in onward.items():
+            arrival = now + self.network.transfer(state.name, target.name, moved)
+            self._send(group, target, arrival)
         if done:
             self._return_tokens(state, done, now)
         if again:
             self._enqueue(again, state, epoch)
-        self._sample_load(state, now)
+        if now - state.sampled_at >= self.settings.load_lag_s:
+            self._sample_load(state, now)
         if state.ready_count and not state.busy:
             self._start_step(state)
 
-    def _moved_tokens(self, sequence: Sequence) -> int:
-        if sequence.position > sequence.call.resume_from:
-            return 1
-        return sequence.pending[sequence.index]
-
     def _return_tokens(self, state: EngineState, done: list, now: float) -> None:
         """Send tokens from the last stage through the first ones to the callers."""
-        onward = {}
-        frames = {}
+        groups = {}
         for sequence in done:
             call = sequence.call
-            first = sequence.engines[0]
-            token = token_at(sequence.digest, sequence.position)
-            final = sequence.position + 1 >= call.max_tokens
+            position = sequence.position
+            token = token_at(sequence.digest, position)
+            final = position + 1 >= call.max_tokens
             load = ()
             if now >= sequence.next_load:
                 sequence.next_load = now + self.settings.load_every_s
@@ -262,25 +272,35 @@
             frame = TokenFrame(
                 call.request,
                 call.attempt,
-                sequence.position,
+                position,
                 token,
                 sequence.spans,
                 text_of(token),
                 final,
                 load,
             )
-            frames.setdefault((first.name, sequence.origin), []).append((sequence, frame))
-            sequence.position += 1
-            if final:
-                continue
-            sequence.index = 0
-            onward.setdefault((first, first.epoch), []).append(sequence)
-        for (first, origin), group in frames.items():
-            delay = self.network.delay(state.name, first) + self.network.delay(first, origin)
-            self.timeline.at(now + delay, self._deliver, group)
-        for (first, epoch), group in onward.items():
-            delay = self.network.transfer(state.name, first.name, len(group))
-            self.timeline.at(now + delay, self._enqueue, group, first, epoch)
+            sequence.position = position + 1
+            sequence.prefilling = False
+            first = sequence.engines[0]
+            group = groups.get(first)
+            if group is None:
+                group = groups[first] = ([], {})
+            if not final:
+                sequence.index = 0
+                group[0].append(sequence)
+            frames = group[1].get(sequence.origin)
+            if frames is None:
+                group[1][sequence.origin] = [(sequence, frame)]
+            else:
+                frames.append((sequence, frame))
+        network = self.network
+        for first, (onward, by_origin) in groups.items():
+            back = now + network.transfer(state.name, first.name, len(onward))
+            if onward:
+                self._send(onward, first, back)
+            for origin, frames in by_origin.items():
+                arrival = back + network.delay(first.name, origin)
+                self.timeline.at(arrival, self._deliver, frames)
 
     def _deliver(self, group: list) -> None:
         for sequence, frame in group:
@@ -303,8 +323,6 @@
         self.timeline.at(self.timeline.now + delay + back, partial(sequence.on_failure, failure))
 
     def _sample_load(self, state: EngineState, now: float) -> None:
-        if now - state.sampled_at < self.settings.load_lag_s:
-            return
         state.sampled_at = now
         state.published = state.sampled
         used = sum(
