Run the daemon against the platform and servers in separate processes

Cause: the path existed in one process only. Change: the daemon connects to the key-value service (etcd v3 JSON), to engines and plain services over HTTP, and optionally to its peers; placements become holdings in the catalog, so that they spread like every release note; stand-ins of platform and servers run as python -m basilwinch.standin. Fault found: the stand-in application ignored the ASGI lifespan, which stopped hypercorn.

--- a/basilwinch/catalog/__init__.py
+++ b/basilwinch/catalog/__init__.py
@@ -3,6 +3,7 @@
 from basilwinch.catalog.catalog import Catalog
 from basilwinch.catalog.entries import (
     Adapter,
+    Holding,
     Model,
     Organisation,
     Server,
@@ -15,6 +16,7 @@
 __all__ = [
     "Adapter",
     "Catalog",
+    "Holding",
     "Model",
     "Organisation",
     "Server",
--- a/basilwinch/catalog/catalog.py
+++ b/basilwinch/catalog/catalog.py
@@ -2,6 +2,7 @@
 
 from basilwinch.catalog.entries import (
     Adapter,
+    Holding,
     Model,
     Organisation,
     Server,
@@ -19,6 +20,7 @@
     "servers": Server,
     "services": Service,
     "organisations": Organisation,
+    "holdings": Holding,
 }
 
 
--- a/basilwinch/catalog/entries.py
+++ b/basilwinch/catalog/entries.py
@@ -6,6 +6,7 @@
 
 __all__ = [
     "Adapter",
+    "Holding",
     "Model",
     "Organisation",
     "Server",
@@ -76,6 +77,16 @@
     __slots__ = ("name", "model", "weight_bytes")
 
 
+class Holding(_Entry):
+    """What the placement lets one server run; nodes route only to these stages.
+
+    :param name: name of the server
+    :param stages: texts ``model/version/first/end``, one for each layer range
+    """
+
+    __slots__ = ("name", "stages")
+
+
 class Server(_Entry):
     """A backend server.
 
--- a/basilwinch/daemon/core.py
+++ b/basilwinch/daemon/core.py
@@ -1,6 +1,7 @@
 """The decision parts of one node and the state in effect that they share."""
 
 import random
+from collections.abc import Callable
 
 import prometheus_client
 import structlog
@@ -12,6 +13,7 @@
 from basilwinch.observability import DecisionLog
 from basilwinch.order import OrderConfig, OrderRunner
 from basilwinch.pipeline import Placement
+from basilwinch.placement import read_placements
 from basilwinch.record import Record
 from basilwinch.relay import Relay, RelayConfig, SuspectConfig, SuspectRegistry
 from basilwinch.release import Replica
@@ -73,6 +75,8 @@
         "log",
         "registry",
         "_applied",
+        "_holdings",
+        "find_unsynced",
         "_structlog",
     )
 
@@ -96,7 +100,10 @@
         )
         self.placements: dict[str, Placement] = {}
         self.nodes = 1
+        #: Returns a ``Failure`` while the node may hold an old state, else None.
+        self.find_unsynced: Callable[[], Failure | None] = lambda: None
         self._applied: tuple | None = None
+        self._holdings: object = None
         self._structlog = structlog.get_logger("node")
 
     @classmethod
@@ -117,10 +124,10 @@
         return self.replica.catalog
 
     def find_unready(self) -> Failure | None:
-        """Return ``NOT_READY`` until a first revision is in effect."""
+        """Return ``NOT_READY`` until a first revision is in effect and known to be the newest."""
         if self.replica.revision == 0:
             return NOT_READY.because("no release note is in effect yet", retry_after=1.0)
-        return None
+        return self.find_unsynced()
 
     def describe(self) -> dict:
         """Return what operators see under ``/admin/state``."""
@@ -137,15 +144,13 @@
             "stages": {name: len(p.stages) for name, p in sorted(self.placements.items())},
         }
 
-    def apply(self, placements: dict[str, Placement] | None = None) -> None:
-        """Bring all parts to the state in effect and to new placements.
-
-        :param placements: placements by model, None to keep those in use
-        """
+    def apply(self) -> None:
+        """Bring all parts to the state in effect."""
         now = trio.current_time()
-        if placements is not None:
-            self.placements = placements
         catalog = self.catalog
+        if catalog.holdings is not self._holdings:
+            self._holdings = catalog.holdings
+            self.placements = read_placements(catalog)
         self._applied = (catalog.revision, self.nodes)
         self.router.update(catalog, self.placements, now)
         self.admission.update(catalog.organisations, self.nodes, now)
--- /dev/null
+++ b/basilwinch/daemon/holding.py
@@ -0,0 +1,35 @@
+"""Release notes that put placements in effect."""
+
+from basilwinch.catalog import Catalog
+from basilwinch.placement import render_holdings
+from basilwinch.release import ReleaseNote, Verb
+from basilwinch.release.note import Item
+
+__all__ = ["build_holding_note"]
+
+TITLE = "placement"
+# The note comes from no file, so its entries have no line.
+_NO_LINES = {"": 0}
+
+
+def build_holding_note(catalog: Catalog, placements) -> ReleaseNote:
+    """Return the note that turns the holdings of a catalog into those of some placements.
+
+    Placements travel as a release note, so that they spread and stay in effect by the same
+    mechanism as every other change.
+
+    :param catalog: the state in effect
+    :param placements: iterable of :class:`~basilwinch.pipeline.Placement`
+    :returns: a note, without items if nothing changes. Linear in the number of holdings.
+    """
+    wanted = render_holdings(placements)
+    items = []
+    for name, holding in sorted(wanted.items()):
+        held = catalog.holdings.get(name)
+        if held is None or held.stages != holding.stages:
+            verb = Verb.ADDED if held is None else Verb.CHANGED
+            items.append(Item(verb, "holding", name, {"stages": list(holding.stages)}, _NO_LINES))
+    for name in sorted(catalog.holdings):
+        if name not in wanted:
+            items.append(Item(Verb.WITHDRAWN, "holding", name, {}, _NO_LINES))
+    return ReleaseNote(TITLE, TITLE, tuple(items))
--- a/basilwinch/daemon/node.py
+++ b/basilwinch/daemon/node.py
@@ -1,15 +1,19 @@
 """One entry node: its parts, its start and its end."""
 
 import random
+from functools import partial
 
 import prometheus_client
 import structlog
 import trio
 
+from basilwinch.catalog import Server
+from basilwinch.daemon.connected import PlatformSource, build_membership, follow_members
 from basilwinch.daemon.core import CoreConfig, NodeCore, Outside
 from basilwinch.daemon.embedded import EmbeddedPlatform, plan_placements
+from basilwinch.daemon.holding import build_holding_note
 from basilwinch.daemon.server import drain_gateway, serve_application, wait_for_signal
-from basilwinch.exception import INVALID_SETTING, ConfigurationError
+from basilwinch.exception import INVALID_SETTING, ConfigurationError, Failure
 from basilwinch.gateway import (
     ChatHandler,
     Gateway,
@@ -19,7 +23,10 @@
     PlainHandler,
     RequestIds,
 )
-from basilwinch.release import Publisher, read_note_file
+from basilwinch.membership import Membership
+from basilwinch.platform.etcd import EtcdConfig, EtcdStore
+from basilwinch.release import Publisher, ReleaseNote, State, read_note_file
+from basilwinch.server import HttpEngineClient, HttpServiceClient
 from basilwinch.settings import Settings
 
 __all__ = ["Node"]
@@ -51,10 +58,31 @@
         :param rng: source of random choices
         :raises BasilwinchError: if its release note or its settings do not fit
         """
-        if not settings.embedded:
-            reason = "--platform is needed unless --embedded is given"
+        if settings.embedded:
+            return await cls._embedded(settings, rng)
+        if settings.platform is None:
+            reason = "--platform: an address is needed unless --embedded is given"
             raise ConfigurationError(INVALID_SETTING.because(reason, faults=[reason]))
-        return await cls._embedded(settings, rng)
+        return await cls._connected(settings, rng)
+
+    @classmethod
+    async def _connected(cls, settings: Settings, rng: random.Random) -> "Node":
+        ip, port = settings.platform
+        host = f"[{ip}]" if ":" in ip else ip
+        store = EtcdStore.from_config(EtcdConfig((f"http://{host}:{port}",)))
+        find_server = _ServerLookup()
+        engines = HttpEngineClient.from_config(find_server, settings.slots)
+        services = HttpServiceClient.from_config(settings.slots)
+        core = _build_core(settings, Outside(store, engines, services))
+        find_server.core = core
+        source = PlatformSource.from_config(store, core, rng)
+        if settings.peer_listen is None:
+            tasks = [source.run]
+        else:
+            membership = await build_membership(settings, core, source, rng)
+            core.find_unsynced = partial(_find_unsynced, membership)
+            tasks = [membership.run, partial(follow_members, core, membership)]
+        return cls(settings, core, _build_gateway(settings, core), tasks)
 
     @classmethod
     async def _embedded(cls, settings: Settings, rng: random.Random) -> "Node":
@@ -62,17 +90,15 @@
         if isinstance(note, list):
             raise ConfigurationError(note[0])
         platform = EmbeddedPlatform(rng.getrandbits(31))
-        publisher = Publisher(platform.store, rng)
-        publication = await publisher.publish(note)
-        if not publication:
-            raise ConfigurationError(publication)
-        state = await publisher.refresh()
+        publisher = Publisher(platform.store, rng, author=settings.name)
+        state = await _publish(publisher, note)
         platform.start_servers(state.catalog)
         core = _build_core(settings, Outside(platform.store, platform.client, platform.client))
-        core.replica.adopt(state)
         placements = plan_placements(state.catalog, settings.seed, core.log)
         platform.engines.place(placements.values())
-        core.apply(placements)
+        state = await _publish(publisher, build_holding_note(state.catalog, placements.values()))
+        core.replica.adopt(state)
+        core.apply()
         return cls(settings, core, _build_gateway(settings, core), [platform.run])
 
     async def run(self) -> None:
@@ -95,6 +121,27 @@
             nursery.cancel_scope.cancel()
 
 
+async def _publish(publisher: Publisher, note: ReleaseNote) -> State:
+    publication = await publisher.publish(note)
+    if not publication:
+        raise ConfigurationError(publication)
+    return await publisher.refresh()
+
+
+def _find_unsynced(membership: Membership) -> Failure | None:
+    ready = membership.ready()
+    return ready if isinstance(ready, Failure) else None
+
+
+class _ServerLookup:
+    """Finds servers in the catalog of a core that is built later."""
+
+    __slots__ = ("core",)
+
+    def __call__(self, name: str) -> Server | None:
+        return self.core.catalog.servers.get(name)
+
+
 def _build_core(settings: Settings, outside: Outside) -> NodeCore:
     name = settings.name or "{}:{}".format(*settings.listen)
     config = CoreConfig(name, settings.zone, settings.region, settings.slots, settings.seed)
--- a/basilwinch/gateway/application.py
+++ b/basilwinch/gateway/application.py
@@ -15,7 +15,7 @@
     Failure,
 )
 from basilwinch.gateway.chat import ChatHandler
-from basilwinch.gateway.exchange import CallerGone, Exchange
+from basilwinch.gateway.exchange import CallerGone, Exchange, run_lifespan
 from basilwinch.gateway.identity import KeyIndex, RequestIds
 from basilwinch.gateway.metrics import GatewayMetrics
 from basilwinch.gateway.plain import PlainHandler
@@ -99,7 +99,7 @@
     async def __call__(self, scope: dict, receive: Callable, send: Callable) -> None:
         """Serve one ASGI connection scope."""
         if scope["type"] == "lifespan":
-            await _run_lifespan(receive, send)
+            await run_lifespan(receive, send)
             return
         if scope["type"] != "http":
             return
@@ -223,14 +223,6 @@
     return outcome[0]
 
 
-async def _run_lifespan(receive: Callable, send: Callable) -> None:
-    while True:
-        message = await receive()
-        await send({"type": message["type"] + ".complete"})
-        if message["type"] == "lifespan.shutdown":
-            return
-
-
 def _read_deadline(exchange: Exchange, default_s: float) -> float:
     text = exchange.header(b"x-deadline-ms")
     if not text:
--- a/basilwinch/gateway/exchange.py
+++ b/basilwinch/gateway/exchange.py
@@ -13,7 +13,7 @@
     Failure,
 )
 
-__all__ = ["CallerGone", "Exchange", "error_document"]
+__all__ = ["CallerGone", "Exchange", "error_document", "run_lifespan"]
 
 _JSON = (b"content-type", b"application/json; charset=utf-8")
 
@@ -155,3 +155,12 @@
     """
     kind = "invalid_request_error" if failure.kind.status < 500 else "server_error"
     return {"error": {"type": kind, "retry_after": None, **failure.to_dict()}}
+
+
+async def run_lifespan(receive, send) -> None:
+    """Answer the events of an ASGI lifespan scope; there is nothing to start or stop."""
+    while True:
+        message = await receive()
+        await send({"type": message["type"] + ".complete"})
+        if message["type"] == "lifespan.shutdown":
+            return
--- a/basilwinch/placement/__init__.py
+++ b/basilwinch/placement/__init__.py
@@ -1,6 +1,7 @@
 """Placement of model layers on servers: the bound, the planner and the executor of orders."""
 
 from basilwinch.placement.bound import Bound, Workload, bound_of_fleet, bound_of_placements
+from basilwinch.placement.holding import read_placements, render_holdings
 from basilwinch.placement.planner import Plan, Planner, PlannerConfig, changed_servers
 
 __all__ = [
@@ -12,4 +13,6 @@
     "bound_of_fleet",
     "bound_of_placements",
     "changed_servers",
+    "read_placements",
+    "render_holdings",
 ]
--- a/basilwinch/release/schema.py
+++ b/basilwinch/release/schema.py
@@ -5,6 +5,7 @@
 
 from basilwinch.catalog import (
     Adapter,
+    Holding,
     Model,
     Organisation,
     Server,
@@ -142,6 +143,7 @@
 _DIGEST = _pattern("[0-9a-f]{64}", "a SHA-256 digest of 64 hexadecimal digits in lower case")
 _WORD = _pattern(r"\S(.{0,98}\S)?", "a text of 1 to 100 characters")
 _CALL = _pattern(r"[A-Z]+ /\S*", 'a method and a path prefix, such as "POST /orders"')
+_STAGE = _pattern(r"[^/]+/[^/]*/\d+/\d+", "a text model/version/first/end")
 
 KINDS = {
     kind.name: kind
@@ -197,6 +199,8 @@
             (Reference("service", "service"),),
             "address",
         ),
+        # Without references: an operator may withdraw a server or a model that is still placed.
+        Kind("holding", "holdings", Holding, {"stages": _list_of(_STAGE)}),
         Kind(
             "organisation",
             "organisations",
--- a/basilwinch/settings/kind.py
+++ b/basilwinch/settings/kind.py
@@ -54,19 +54,18 @@
 
 
 class SecretKind(Kind):
-    """A non-empty text that is never printed."""
+    """A text that is never printed; empty for none."""
 
     __slots__ = ()
 
     @property
     def allowed(self) -> str:
         """What the kind takes."""
-        return "a non-empty secret"
+        return "a secret, or nothing"
 
     def parse(self, text: str):
-        """Return the text without surrounding blanks; a refusal does not repeat it."""
-        text = text.strip()
-        return text if text else self._refuse("")
+        """Return the text without surrounding blanks."""
+        return text.strip()
 
 
 class FlagKind(Kind):
--- a/basilwinch/standin/http.py
+++ b/basilwinch/standin/http.py
@@ -5,7 +5,7 @@
 
 from basilwinch.catalog import Server, ServiceKind
 from basilwinch.exception import MALFORMED_REQUEST, SERVER_REFUSED, Failure, ServerError
-from basilwinch.gateway.exchange import Exchange, error_document
+from basilwinch.gateway.exchange import Exchange, error_document, run_lifespan
 from basilwinch.server import EngineCall, ServerOrder, ServiceCall
 
 __all__ = ["StandinServers"]
@@ -30,6 +30,9 @@
 
     async def __call__(self, scope: dict, receive: Callable, send: Callable) -> None:
         """Serve one ASGI connection scope."""
+        if scope["type"] == "lifespan":
+            await run_lifespan(receive, send)
+            return
         if scope["type"] != "http":
             return
         exchange = Exchange(scope, receive, send)
