--- a/basilwinch/release/writer.py
+++ b/basilwinch/release/writer.py
@@ -89,7 +89,7 @@
     for delay in _delays(rng, settle_s):
         try:
             outcome = await store.transact(compares, puts, draft.deletes)
-            if outcome.succeeded or not ambiguous:
+            if outcome.succeeded or ambiguous is None:
                 return outcome.succeeded
             return await _was_accepted(store, draft)
         except PlatformError as error:
@@ -97,7 +97,7 @@
             if kind is PLATFORM_AMBIGUOUS:
                 # The write repeated with the same condition has effect at most once.
                 ambiguous = error.failure
-            elif not ambiguous:
+            elif ambiguous is None:
                 raise
             elif kind is not PLATFORM_UNAVAILABLE:
                 break
