--- /dev/null
+++ b/basilwinch/lease/tests/test_holder.py
@@ -0,0 +1,205 @@
+"""State machine of lease holders that are paused and lose answers."""
+
+import random
+
+import pytest
+import trio
+import trio.testing
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, rule
+
+from basilwinch.lease import LeaseConfig, LeaseHolder
+from basilwinch.standin import MemoryKeyValueStore
+
+TTL, MARGIN, ORDER = 10.0, 2.0, 5.0
+RUN_S = 300.0
+
+
+class Node:
+    """A node that sends orders while it holds the lease, and can be paused like a process."""
+
+    def __init__(self, name, store, servers, rng):
+        self.store = store
+        self.servers = servers
+        self.paused_until = 0.0
+        self.pause_after_check = 0.0
+        self.grants = []
+        config = LeaseConfig("placement", name, TTL, MARGIN, ORDER)
+        self.holder = LeaseHolder.from_config(config, self, rng)
+
+    def __getattr__(self, name):
+        call = getattr(self.store, name)
+        if name == "watch":
+            return call
+
+        async def paused_call(*args):
+            await self._stay_paused()
+            try:
+                return await call(*args)
+            finally:
+                # The answer reaches a paused process only when it goes on.
+                await self._stay_paused()
+
+        return paused_call
+
+    async def _stay_paused(self):
+        with trio.CancelScope(shield=True):
+            await trio.sleep_until(max(self.paused_until, trio.current_time()))
+
+    async def work(self, held):
+        """Send an order to each server every half second."""
+        self.grants.append((trio.current_time(), held.fence))
+        while True:
+            await self._stay_paused()
+            for server in self.servers:
+                now = trio.current_time()
+                if held.check(now) is not None:
+                    return
+                if held.check_order(server.checks, now) is not None:
+                    continue
+                if self.pause_after_check:
+                    # The pause comes after the check, so the order leaves late.
+                    pause, self.pause_after_check = self.pause_after_check, 0.0
+                    with trio.CancelScope(shield=True):
+                        await trio.sleep(pause)
+                seen = server.order(held.fence)
+                if seen:
+                    self.holder.raise_floor(seen)
+            await trio.sleep(0.5)
+
+
+class Server:
+    """A server that checks fencing tokens, or one that ignores them."""
+
+    def __init__(self, checks):
+        self.checks = checks
+        self.highest = 0
+        self.orders = []
+        self.stale = 0
+
+    def order(self, fence):
+        """Take an order; returns the highest token seen if it is refused."""
+        if self.checks and fence < self.highest:
+            return self.highest
+        self.stale += fence < self.highest
+        self.highest = max(self.highest, fence)
+        self.orders.append((trio.current_time(), fence))
+        return 0
+
+
+async def simulate(schedule, run_s=RUN_S):
+    """Run three nodes under a schedule of (seconds to wait, fault, node, length)."""
+    rng = random.Random(3)
+    store = MemoryKeyValueStore()
+    servers = [Server(True), Server(False)]
+    nodes = [Node(f"node-{index}", store, servers, rng) for index in range(3)]
+    snapshot = store.snapshot()
+
+    async def disturb():
+        nonlocal snapshot
+        for wait, fault, index, length in schedule:
+            await trio.sleep(wait)
+            node = nodes[index]
+            if fault == "pause":
+                node.paused_until = trio.current_time() + length
+            elif fault == "pause after check":
+                node.pause_after_check = min(length, ORDER)
+            elif fault == "lose":
+                store.lose_answers(index + 1)
+            elif fault == "slow":
+                store.slow(length / 10)
+                await trio.sleep(length)
+                store.slow(0)
+            elif fault == "down":
+                store.down()
+                await trio.sleep(length)
+                store.up()
+            elif fault == "save":
+                snapshot = store.snapshot()
+            elif fault == "restore":
+                store.restore(snapshot)
+
+    with trio.move_on_after(run_s):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(disturb)
+            for node in nodes:
+                nursery.start_soon(node.holder.run, node.work)
+    return store, servers, nodes
+
+
+def run(schedule):
+    """Simulate on a virtual clock."""
+    return trio.run(simulate, schedule, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+class Leases(RuleBasedStateMachine):
+    """Collects a schedule of faults; the nodes run under it at the end."""
+
+    faults = ["pause", "pause after check", "lose", "slow", "down"]
+
+    def __init__(self):
+        super().__init__()
+        self.schedule = []
+
+    @rule(
+        wait=st.sampled_from([0.0, 0.4, 1.0, 3.0, 9.0]),
+        fault=st.sampled_from(faults),
+        node=st.integers(0, 2),
+        length=st.sampled_from([0.5, 4.0, 9.0, 11.0, 30.0]),
+    )
+    def disturb(self, wait, fault, node, length):
+        """Add a fault."""
+        self.schedule.append((wait, fault, node, length))
+
+    def teardown(self):
+        """Check that no order of an old holder takes effect and that tokens only grow."""
+        _, servers, nodes = run(self.schedule)
+        assert [server.stale for server in servers] == [0, 0]
+        fences = [fence for _, fence in sorted(grant for node in nodes for grant in node.grants)]
+        assert fences == sorted(set(fences))
+        assert servers[0].orders[-1][0] > RUN_S - 60, "no node holds the lease after the faults"
+
+
+Leases.TestCase.settings = settings(
+    max_examples=25,
+    stateful_step_count=10,
+    deadline=None,
+    derandomize=True,
+    # Without the explain phase, which takes minutes when a run fails.
+    phases=[Phase.explicit, Phase.generate, Phase.shrink],
+    suppress_health_check=[HealthCheck.too_slow],
+)
+TestLeases = Leases.TestCase
+
+
+def test_a_paused_holder_is_replaced_and_stops():
+    """Guards against a holder that goes on after its lease has ended."""
+    _, servers, nodes = run([(5, "pause", index, 40) for index in (0, 1)])
+    assert sum(len(node.grants) for node in nodes) >= 2
+    assert [server.stale for server in servers] == [0, 0]
+
+
+def test_a_quiet_lease_costs_few_calls():
+    """Guards against waiting nodes that poll the platform."""
+    store, _, nodes = run([])
+    assert sum(len(node.grants) for node in nodes) == 1
+    # One renewal each 2 s; a waiting node looks again after 20 to 40 s.
+    assert store.calls["keep_alive"] <= RUN_S / 2 + 1
+    assert sum(store.calls.values()) - store.calls["keep_alive"] < 120
+
+
+def test_tokens_grow_after_a_restored_platform():
+    """Guards against a holder whose orders every server refuses as old."""
+    schedule = [(20, "pause", index, 25) for index in (0, 1, 2)]
+    schedule += [(30, "down", 0, 30), (0, "restore", 0, 0)]
+    _, servers, _ = run(schedule)
+    for server in servers:
+        assert server.stale == 0
+        assert server.orders[-1][0] > RUN_S - 60
+
+
+def test_a_margin_without_time_to_renew_is_refused():
+    """Guards against settings under which the lease is always lost."""
+    with pytest.raises(ValueError, match="margin_s"):
+        LeaseHolder.from_config(LeaseConfig("x", "a", 4.0, 2.0), MemoryKeyValueStore(), None)
