--- /dev/null
+++ b/basilwinch/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command-line tool ``basilwinch``."""
--- /dev/null
+++ b/basilwinch/cli/commands/publish.py
@@ -0,0 +1,78 @@
+"""``basilwinch publish``: publishes a note, and waits until it is in effect if asked to."""
+
+import getpass
+
+from basilwinch.cli.arguments import (
+    add_nodes,
+    add_note_file,
+    add_platform,
+    add_setting,
+    add_sub_command,
+    add_switch,
+)
+from basilwinch.cli.commands.check import read_or_fail
+from basilwinch.cli.nodes import parse_nodes, wait_for_revision
+from basilwinch.cli.output import describe_changes
+from basilwinch.exception import Failure
+from basilwinch.release import Publisher
+
+__all__ = ["add_parser", "run"]
+
+
+def add_parser(commands) -> None:
+    """Add the sub-command."""
+    parser = add_sub_command(commands, "publish", "Publish a note.", run)
+    add_note_file(parser)
+    add_platform(parser)
+    add_nodes(parser)
+    add_switch(parser, "--wait", "Wait until the note is in effect on every node.")
+    add_setting(parser, "--wait-timeout", "60", "Seconds to wait at most.", float)
+    add_setting(parser, "--settle-timeout", "30", "Seconds to settle a lost answer.", float)
+    add_setting(parser, "--author", "", "Name for the history; by default the user's name.")
+    parser.add_argument("--base", type=int, help="Revision that the note was planned against.")
+    parser.add_argument(
+        "--id", default="", help="Id of the note; with the id of an accepted note nothing is done."
+    )
+
+
+async def run(args, context) -> int:
+    """Run the sub-command."""
+    nodes = parse_nodes(args.nodes) if args.wait else []
+    if isinstance(nodes, Failure):
+        return context.output.fail(nodes)
+    note = read_or_fail(args.file)
+    if isinstance(note, Failure):
+        return context.output.fail(note)
+    author = args.author or _user_name()
+    async with context.store(args) as store:
+        publisher = Publisher(
+            store, context.rng, author, context.clock, settle_s=args.settle_timeout
+        )
+        publication = await publisher.publish(note, args.id, args.base)
+    if isinstance(publication, Failure):
+        return context.output.fail(publication)
+    number = publication.revision.number
+    lines = [describe_changes(publication.changes)]
+    lines.append(f"accepted as revision {number}, note {publication.note}")
+    revisions = {}
+    if args.wait:
+        revisions = await wait_for_revision(nodes, number, args.wait_timeout)
+        if isinstance(revisions, Failure):
+            return context.output.fail(revisions)
+        lines.append(f"in effect on {len(nodes)} nodes")
+    return context.output.succeed(
+        "\n".join(lines),
+        revision=number,
+        note=publication.note,
+        attempts=publication.attempts,
+        changes=[change.to_dict() for change in publication.changes],
+        nodes=revisions,
+    )
+
+
+def _user_name() -> str:
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError):
+        # A process in a container may run under a user id without a name.
+        return ""
--- /dev/null
+++ b/basilwinch/cli/commands/show.py
@@ -0,0 +1,43 @@
+"""``basilwinch show``: shows one accepted note."""
+
+from basilwinch.cli.arguments import add_platform, add_sub_command
+from basilwinch.cli.output import describe_changes, describe_note, note_fields
+from basilwinch.exception import RELEASE_GAP, UNKNOWN_REVISION, PlatformError
+from basilwinch.release import read_head, read_history
+
+__all__ = ["add_parser", "read_between", "run"]
+
+
+def add_parser(commands) -> None:
+    """Add the sub-command."""
+    parser = add_sub_command(commands, "show", "Show what an accepted note changed.", run)
+    parser.add_argument("revision", type=int, help="Revision number.")
+    add_platform(parser)
+
+
+async def read_between(store, after: int, end: int):
+    """Return the notes from revision ``after + 1`` to ``end``.
+
+    :raises PlatformError: ``UNKNOWN_REVISION`` if the history does not hold them
+    """
+    head = await read_head(store)
+    number = head.revision.number
+    if not 0 <= after <= end <= number:
+        reason = f"revision {end if end > number else after} is not between 0 and {number}"
+        raise PlatformError(UNKNOWN_REVISION.because(reason))
+    try:
+        history = await read_history(store, head.revision, after)
+    except PlatformError as error:
+        if error.failure.kind is not RELEASE_GAP:
+            raise
+        raise PlatformError(UNKNOWN_REVISION.because(error.failure.reason)) from error
+    return [body for body in history if body.revision.number <= end]
+
+
+async def run(args, context) -> int:
+    """Run the sub-command."""
+    async with context.store(args) as store:
+        notes = await read_between(store, args.revision - 1, args.revision)
+    body = notes[-1]
+    text = f"{describe_note(body)}\n{describe_changes(body.changes)}"
+    return context.output.succeed(text, **note_fields(body))
--- /dev/null
+++ b/basilwinch/cli/commands/status.py
@@ -0,0 +1,61 @@
+"""``basilwinch status``: shows the revision and the entries in effect."""
+
+from basilwinch.catalog.catalog import SECTIONS
+from basilwinch.cli.arguments import add_nodes, add_platform, add_sub_command, add_switch
+from basilwinch.cli.nodes import parse_nodes, read_revisions
+from basilwinch.cli.output import describe_note
+from basilwinch.cli.text import format_note
+from basilwinch.exception import UNKNOWN_REVISION
+from basilwinch.release import State, load_state, read_recent
+from basilwinch.release.reinstate import compare_states
+
+__all__ = ["add_parser", "run"]
+
+_RECENT = 1000
+
+
+def add_parser(commands) -> None:
+    """Add the sub-command."""
+    parser = add_sub_command(commands, "status", "Show the state in effect.", run)
+    add_platform(parser)
+    add_nodes(parser)
+    add_switch(parser, "--entries", "Show all entries as a release note.")
+    parser.add_argument(
+        "--note", default="", help="Tell whether the note with this id is accepted."
+    )
+
+
+async def run(args, context) -> int:
+    """Run the sub-command."""
+    async with context.store(args) as store:
+        state = await load_state(store)
+        recent = await read_recent(store, state.revision, _RECENT if args.note else 1)
+    if args.note:
+        return _tell_note(args.note, recent, context)
+    if args.entries:
+        changes = compare_states(State.empty(), state)
+        entries = [change.to_dict() for change in changes]
+        text = format_note(f"state at revision {state.revision.number}", changes)
+        return context.output.succeed(text, revision=state.revision.number, added=entries)
+    counts = {section: len(getattr(state.catalog, section)) for section in SECTIONS}
+    nodes = await read_revisions(parse_nodes(args.nodes)) if args.nodes else {}
+    lines = [describe_note(recent[-1]) if recent else f"revision {state.revision.number}"]
+    lines.append(", ".join(f"{count} {section}" for section, count in counts.items()))
+    for url, held in nodes.items():
+        lines.append(f"{url}: " + ("no answer" if held is None else f"revision {held}"))
+    return context.output.succeed(
+        "\n".join(lines),
+        revision=state.revision.number,
+        note=recent[-1].note if recent else "",
+        entries=counts,
+        nodes=nodes,
+    )
+
+
+def _tell_note(note_id: str, recent, context) -> int:
+    for body in recent:
+        if body.note == note_id:
+            text = f"accepted: {describe_note(body)}"
+            return context.output.succeed(text, revision=body.revision.number, note=note_id)
+    reason = f"note {note_id} is not among the last {len(recent)} accepted notes"
+    return context.output.fail(UNKNOWN_REVISION.because(reason, note=note_id))
--- /dev/null
+++ b/basilwinch/cli/context.py
@@ -0,0 +1,38 @@
+"""What a sub-command needs: its output and connections to the platform and the nodes."""
+
+import random
+import time
+from contextlib import asynccontextmanager
+
+from basilwinch.cli.output import Output
+from basilwinch.platform import EtcdConfig, EtcdStore
+
+__all__ = ["Context"]
+
+
+class Context:
+    """Given to each sub-command.
+
+    :param output: :class:`~basilwinch.cli.output.Output`
+    :param store: key-value service to use in place of the one in the settings
+    :param rng: :class:`random.Random` for ids and waits
+    :param clock: function that returns seconds since the epoch
+    """
+
+    __slots__ = ("output", "rng", "clock", "_store")
+
+    def __init__(self, output: Output, store=None, rng=None, clock=time.time):
+        self.output = output
+        self.rng = rng or random.SystemRandom()
+        self.clock = clock
+        self._store = store
+
+    @asynccontextmanager
+    async def store(self, args):
+        """Open the key-value service of the settings."""
+        if self._store is not None:
+            yield self._store
+            return
+        endpoints = tuple(filter(None, map(str.strip, args.platform.split(","))))
+        async with EtcdStore.from_config(EtcdConfig(endpoints, args.timeout)) as store:
+            yield store
--- /dev/null
+++ b/basilwinch/cli/output.py
@@ -0,0 +1,150 @@
+"""Exit codes, and results as text or JSON."""
+
+import datetime
+import enum
+import json
+
+from basilwinch.exception import (
+    INVALID_SETTING,
+    NOT_IN_EFFECT,
+    NOTE_CONFLICT,
+    NOTE_CONTENDED,
+    NOTE_INVALID,
+    NOTE_UNSETTLED,
+    PLATFORM_UNAVAILABLE,
+    UNKNOWN_REVISION,
+    Failure,
+)
+from basilwinch.release import Body, Change, Verb
+
+__all__ = ["ExitCode", "describe_change", "describe_changes", "exit_code_of", "format_time"]
+
+
+class ExitCode(enum.IntEnum):
+    """Exit codes of the tool, listed in docs/operators/release-notes.md."""
+
+    DONE = 0
+    FAILED = 1
+    USAGE = 2
+    INVALID = 3
+    CONFLICT = 4
+    UNAVAILABLE = 5
+    UNSETTLED = 6
+    NOT_IN_EFFECT = 7
+    UNKNOWN_REVISION = 8
+
+
+_CODES = {
+    INVALID_SETTING: ExitCode.USAGE,
+    NOTE_INVALID: ExitCode.INVALID,
+    NOTE_CONFLICT: ExitCode.CONFLICT,
+    NOTE_CONTENDED: ExitCode.CONFLICT,
+    PLATFORM_UNAVAILABLE: ExitCode.UNAVAILABLE,
+    NOTE_UNSETTLED: ExitCode.UNSETTLED,
+    NOT_IN_EFFECT: ExitCode.NOT_IN_EFFECT,
+    UNKNOWN_REVISION: ExitCode.UNKNOWN_REVISION,
+}
+
+
+def exit_code_of(failure: Failure) -> ExitCode:
+    """Return the exit code for a failure."""
+    return _CODES.get(failure.kind, ExitCode.FAILED)
+
+
+def format_time(seconds: float) -> str:
+    """Return a time in UTC.
+
+    >>> format_time(0)
+    '1970-01-01 00:00:00Z'
+    """
+    moment = datetime.datetime.fromtimestamp(seconds, datetime.UTC)
+    return moment.strftime("%Y-%m-%d %H:%M:%SZ")
+
+
+def describe_change(change: Change) -> str:
+    """Return a change as one line.
+
+    >>> change = Change("changed", "server", "a", {"name": "a", "zone": "y"}, {"zone": "x"})
+    >>> describe_change(change)
+    'changed    server a: zone "x" -> "y"'
+    """
+    line = f"{change.verb:<10} {change.kind} {change.name}"
+    if change.verb is not Verb.CHANGED:
+        return line
+    values = (
+        f"{key} {_value(old)} -> {_value(change.after.get(key))}"
+        for key, old in change.before.items()
+    )
+    return f"{line}: {', '.join(values)}"
+
+
+def describe_changes(changes) -> str:
+    """Return changes as lines and a count of each verb."""
+    lines = [describe_change(change) for change in changes]
+    counts = (f"{sum(change.verb is verb for change in changes)} {verb}" for verb in Verb)
+    return "\n".join([*lines, ", ".join(counts)])
+
+
+def describe_note(body: Body) -> str:
+    """Return the first line of a note in the history."""
+    fields = [f"revision {body.revision.number}", format_time(body.time), f"note {body.note}"]
+    return "  ".join([*fields, *filter(None, [body.author, body.title])])
+
+
+def note_fields(body: Body) -> dict:
+    """Return a note of the history in its JSON form."""
+    return {
+        "revision": body.revision.number,
+        "note": body.note,
+        "title": body.title,
+        "author": body.author,
+        "time": body.time,
+        "changes": [change.to_dict() for change in body.changes],
+    }
+
+
+def describe_failure(failure: Failure) -> str:
+    """Return a failure as lines ``file:line: key: code: reason``."""
+    errors = failure.detail.get("errors")
+    if errors:
+        return "\n".join(map(_describe_error, errors))
+    return _describe_error(failure.to_dict())
+
+
+def _describe_error(error: dict) -> str:
+    detail = error.get("detail", {})
+    place = f"{detail['file']}:{detail['line']}: " if "file" in detail else ""
+    return f"{place}{error['code']}: {error['reason']}"
+
+
+def _value(value) -> str:
+    return json.dumps(value, ensure_ascii=False)
+
+
+class Output:
+    """Writes the result of a command.
+
+    :param stream: text stream
+    :param as_json: whether to write one JSON object in place of text
+    """
+
+    __slots__ = ("_stream", "_as_json")
+
+    def __init__(self, stream, as_json: bool):
+        self._stream = stream
+        self._as_json = as_json
+
+    def succeed(self, text: str, **fields) -> ExitCode:
+        """Write a result and return the exit code for it."""
+        self._write(text, {"ok": True, **fields})
+        return ExitCode.DONE
+
+    def fail(self, failure: Failure) -> ExitCode:
+        """Write a failure and return the exit code for it."""
+        self._write(describe_failure(failure), {"ok": False, "error": failure.to_dict()})
+        return exit_code_of(failure)
+
+    def _write(self, text: str, fields: dict):
+        if self._as_json:
+            text = json.dumps(fields, ensure_ascii=False)
+        print(text, file=self._stream)
--- /dev/null
+++ b/basilwinch/cli/program.py
@@ -0,0 +1,55 @@
+"""Entry point of the command-line tool."""
+
+import argparse
+import importlib
+import sys
+
+import trio
+
+from basilwinch.cli.context import Context
+from basilwinch.cli.output import Output
+from basilwinch.exception import BasilwinchError
+from basilwinch.observability import configure_logs
+
+__all__ = ["build_parser", "execute", "main"]
+
+# Modules of basilwinch.cli.commands, in the order of the help text.
+_COMMANDS = ("check", "plan", "publish", "status", "history", "show", "diff")
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """Return the parser of the tool with all sub-commands."""
+    parser = argparse.ArgumentParser(
+        prog="basilwinch",
+        description="Checks, publishes and shows release notes.",
+        epilog="Exit codes: 0 done, 1 failed, 2 wrong usage, 3 the note has errors, 4 conflict, "
+        "5 the platform had no effect, 6 not known whether accepted, 7 not in effect on every "
+        "node, 8 unknown revision or note.",
+    )
+    commands = parser.add_subparsers(dest="command", required=True, metavar="COMMAND")
+    for name in _COMMANDS:
+        importlib.import_module(f"basilwinch.cli.commands.{name}").add_parser(commands)
+    return parser
+
+
+async def execute(args: argparse.Namespace, context: Context) -> int:
+    """Run one sub-command and return its exit code."""
+    try:
+        return int(await args.run(args, context))
+    except BasilwinchError as error:
+        return int(context.output.fail(error.failure))
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run the tool.
+
+    :param argv: arguments, by default those of the process
+    :returns: exit code
+    """
+    configure_logs("console", "error")
+    args = build_parser().parse_args(argv)
+    return trio.run(execute, args, Context(Output(sys.stdout, args.json)))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/basilwinch/release/reinstate.py
+++ b/basilwinch/release/reinstate.py
@@ -50,9 +50,11 @@
         changes, dropped = merge_fork(held, combine(fork))
         number = max(head.revision.number, held.revision.number) + 1
         revision = Revision(number, f"merge.{rng.getrandbits(64):016x}")
-        parents = (*held.trail, *stored.trail)
-        state = held.applied(revision, changes, sorted(set(parents), key=lambda r: r.number))
-        bodies = [_join(head.revision, state, compare_states(stored, state), now, held.revision)]
+        parents = sorted({*held.trail} - {*stored.trail}, key=lambda item: item.number)
+        merged = held.applied(revision, changes)
+        changes = compare_states(stored, merged)
+        state = stored.applied(revision, changes, parents)
+        bodies = [_join(head.revision, state, changes, now, *parents)]
     draft = _draft(head, table, stored, state, bodies)
     if await write_draft(store, draft, rng):
         replica.adopt(state)
--- a/basilwinch/release/state.py
+++ b/basilwinch/release/state.py
@@ -83,7 +83,11 @@
             sections[section] = sections[section].replaced(
                 puts.get(section, {}), deletes.get(section, ())
             )
-        trail = (*self.trail, *parents, revision)[-TRAIL_LENGTH:]
+        trail = (*self.trail, *parents, revision)
+        if parents:
+            # One order, whichever of the merged histories a node held.
+            trail = tuple(sorted(set(trail), key=lambda item: (item.number, item.id)))
+        trail = trail[-TRAIL_LENGTH:]
         return State(revision, trail, Catalog(revision.number, **sections))
 
     def contains(self, revision: Revision) -> bool:
