Let two watchers read a new revision and the others wait for peers

Cause: each of 22 watchers at 490 nodes read head and note after each change.

Change: watchers are ordered by a hash of the revision held; two read at once, two after 0.5 s, the others after 2 s unless a peer has sent the changes. Changes are no longer deflated here, because the replica exports them compressed.

--- a/basilwinch/membership/__init__.py
+++ b/basilwinch/membership/__init__.py
@@ -6,6 +6,7 @@
 from basilwinch.membership.memory import MemoryNetwork
 from basilwinch.membership.message import Member, MemberState
 from basilwinch.membership.packet import Keyring
+from basilwinch.membership.source import ReleaseSource
 from basilwinch.membership.spread import Replica
 from basilwinch.membership.transport import Transport, UdpTransport
 from basilwinch.membership.watch import RevisionSource
@@ -18,6 +19,7 @@
     "Membership",
     "MembershipConfig",
     "MemoryNetwork",
+    "ReleaseSource",
     "Replica",
     "RevisionSource",
     "Transport",
--- a/basilwinch/membership/codec.py
+++ b/basilwinch/membership/codec.py
@@ -1,14 +1,13 @@
 """Bytes of messages: capnp, packed."""
 
 import pathlib
-import zlib
 
 import capnp
 
 from basilwinch.exception import MALFORMED_PACKET, Failure
 from basilwinch.membership.message import Kind, MemberState, Message, Update
 
-__all__ = ["decode_body", "deflate", "encode_body", "inflate", "schema"]
+__all__ = ["decode_body", "encode_body", "schema"]
 
 schema = capnp.load(str(pathlib.Path(__file__).with_name("schema.capnp")))
 
@@ -18,35 +17,6 @@
 _KINDS = {kind.value: kind for kind in Kind}
 
 
-def deflate(data: bytes) -> bytes:
-    """Compress without header and checksum; the packet's MAC covers integrity."""
-    packer = zlib.compressobj(6, zlib.DEFLATED, -15)
-    return packer.compress(data) + packer.flush()
-
-
-def inflate(data: bytes, limit: int) -> bytes | Failure:
-    """Expand what :func:`deflate` made.
-
-    :param limit: largest size accepted, in bytes
-    :returns: the data, or ``MALFORMED_PACKET``
-
-    >>> inflate(deflate(b"abc"), 3)
-    b'abc'
-    >>> inflate(deflate(b"abc"), 2)
-    Failure(malformed_packet: compressed data expands past 2 bytes)
-    """
-    unpacker = zlib.decompressobj(-15)
-    try:
-        plain = unpacker.decompress(data, limit + 1)
-    except zlib.error as error:
-        return MALFORMED_PACKET.because(f"compressed data: {error}")
-    if len(plain) > limit:
-        return MALFORMED_PACKET.because(f"compressed data expands past {limit} bytes")
-    if not unpacker.eof:
-        return MALFORMED_PACKET.because("compressed data ends early")
-    return plain
-
-
 def _write_updates(builders, updates) -> None:
     for builder, update in zip(builders, updates, strict=True):
         builder.node = update.node
@@ -68,11 +38,8 @@
     return Update(reader.node, reader.life, reader.incarnation, state, reader.leaving, *details)
 
 
-def encode_body(message: Message, compressed: bytes = b"") -> bytes:
-    """Encode a message. Linear in its size.
-
-    :param compressed: the delta or state as :func:`deflate` gives it; ``message.delta`` is not read
-    """
+def encode_body(message: Message) -> bytes:
+    """Encode a message. Linear in its size."""
     body = schema.Body.new_message()
     body.revision = message.revision
     body.ready = message.ready
@@ -83,12 +50,12 @@
     if kind is Kind.FETCH_REPLY:
         reply = body.init("fetchReply")
         _write_updates(reply.init("members", len(message.updates)), message.updates)
-        reply.state = compressed
+        reply.state = message.delta
         return body.to_bytes_packed()
     if message.updates:
         _write_updates(body.init("updates", len(message.updates)), message.updates)
-    if compressed:
-        body.delta = compressed
+    if message.delta:
+        body.delta = message.delta
     if message.payloads:
         builders = body.init("payloads", len(message.payloads))
         for builder, (number, data) in zip(builders, message.payloads, strict=True):
@@ -112,35 +79,29 @@
     return body.to_bytes_packed()
 
 
-def decode_body(data: bytes, delta_limit: int) -> Message | Failure:
+def decode_body(data: bytes) -> Message | Failure:
     """Decode a message. Linear in its size.
 
-    :param delta_limit: largest size of the expanded delta or state, in bytes
     :returns: the message, or ``MALFORMED_PACKET``
     """
     try:
-        return _decode(data, delta_limit)
+        return _decode(data)
     except (capnp.KjException, KeyError, ValueError, UnicodeDecodeError) as error:
         return MALFORMED_PACKET.because(f"body: {str(error)[:200]}")
 
 
-def _decode(data: bytes, delta_limit: int) -> Message | Failure:
+def _decode(data: bytes) -> Message:
     body = schema.Body.from_bytes_packed(data, traversal_limit_in_words=_TRAVERSAL_WORDS)
     kind = _KINDS[str(body.which())]
     message = Message(kind, body.revision, body.ready, body.large, body.roster)
     if kind is Kind.FETCH_REPLY:
         reply = body.fetchReply
         message.updates = tuple(map(_read_update, reply.members))
-        compressed = reply.state
+        message.delta = bytes(reply.state)
     else:
         message.updates = tuple(map(_read_update, body.updates))
         message.payloads = tuple((item.kind, bytes(item.data)) for item in body.payloads)
-        compressed = body.delta
-    if compressed:
-        plain = inflate(compressed, delta_limit)
-        if isinstance(plain, Failure):
-            return plain
-        message.delta = plain
+        message.delta = bytes(body.delta)
     if kind is Kind.PING:
         message.probe = body.ping.probe
     elif kind is Kind.ACK:
--- a/basilwinch/membership/config.py
+++ b/basilwinch/membership/config.py
@@ -62,7 +62,7 @@
         "suspicion_periods": 3.0,
         "forget_s": 3600.0,
         "watchers_per_zone": 2,
-        "watch_check_s": 10.0,
+        "watch_check_s": 20.0,
         "platform_timeout_s": 1.0,
         "poll_max_s": 2.0,
         "vm_list_s": 30.0,
--- a/basilwinch/membership/fetch.py
+++ b/basilwinch/membership/fetch.py
@@ -1,6 +1,5 @@
 """Fetches of members and state from a peer over a stream."""
 
-import zlib
 from collections.abc import Callable
 
 import trio
@@ -27,9 +26,6 @@
 
 _SERVED_AT_ONCE = 4
 _REQUEST_S = 5.0
-_MAX_STATE = 64 * 1024 * 1024
-# Compression yields to other tasks after this many bytes, about 2 ms of work.
-_PIECE = 64 * 1024
 
 
 class Fetcher:
@@ -83,26 +79,27 @@
             return failure
         if packet.destination != self._roster.own.life & 0xFFFFFFFF:
             return WRONG_DESTINATION.because("a frame for another process")
-        message = decode_body(packet.body, _MAX_STATE)
+        message = decode_body(packet.body)
         return message if isinstance(message, Failure) else (packet, message)
 
-    async def fetch(self, entry: Entry, members: bool) -> bool:
+    async def fetch(self, entry: Entry, members: bool, whole: bool = False) -> bool:
         """Fetch from a peer. Only one fetch runs at a time.
 
         :param members: whether to fetch the members too
+        :param whole: whether to fetch the whole state even if changes would do
         :returns: whether the peer answered
         """
         if self.fetching:
             return False
         self.fetching = True
         try:
-            return await self._fetch(entry, members)
+            return await self._fetch(entry, members, whole)
         finally:
             self.fetching = False
 
-    async def _fetch(self, entry: Entry, members: bool) -> bool:
+    async def _fetch(self, entry: Entry, members: bool, whole: bool) -> bool:
         request = self._outbox.header(Kind.FETCH_REQUEST)
-        request.since, request.members = self._spread.revision, members
+        request.since, request.members = 0 if whole else self._spread.revision, members
         data = self._outbox.seal(encode_body(request), entry.life)
         self._outbox.spend("sent", STREAM_OVERHEAD // 2 + stream_bytes(len(data)))
         self._outbox.traffic["fetches"] += 1
@@ -148,30 +145,24 @@
         if request.kind is not Kind.FETCH_REQUEST:
             self._on_drop(MALFORMED_PACKET.because(f"a {request.kind} on a stream"))
             return
-        state = b""
-        if request.since < self._spread.revision:
-            state = await self._compress(request.since)
-        # The revision may have moved on during the compression; the state says what it holds.
-        reply = self._outbox.header(Kind.FETCH_REPLY)
+        state = await self._export(request.since)
+        reply = self._outbox.header(Kind.FETCH_REPLY, delta=state)
         if request.members:
             reply.updates = tuple(self._roster.introductions())
-        data = self._outbox.seal(encode_body(reply, state), packet.life)
+        data = self._outbox.seal(encode_body(reply), packet.life)
         self._outbox.spend("received", STREAM_OVERHEAD // 2 + stream_bytes(len(packet.body)))
         self._outbox.spend("sent", STREAM_OVERHEAD // 2 + stream_bytes(len(data)))
         await send_frame(stream, data)
 
-    async def _compress(self, since: int) -> bytes:
-        """Return the changes after a revision, compressed; the last result is kept because nodes
-        that restart together ask for the same."""
-        key = (since, self._spread.revision)
-        if self._cached[0] == key:
-            return self._cached[1]
-        plain = memoryview(self._spread.export(since))
-        packer = zlib.compressobj(6, zlib.DEFLATED, -15)
-        parts = []
-        for start in range(0, len(plain), _PIECE):
-            parts.append(packer.compress(plain[start : start + _PIECE]))
+    async def _export(self, since: int) -> bytes:
+        """Return the changes after a revision; the last result is kept because nodes that restart
+        together ask for the same."""
+        while self._spread.warm():
+            # A page takes about 2 ms at the design size, a whole state half a second.
             await trio.lowlevel.checkpoint()
-        data = b"".join((*parts, packer.flush()))
-        self._cached = (key, data)
-        return data
+        if since >= self._spread.revision:
+            return b""
+        key = (since, self._spread.revision)
+        if self._cached[0] != key:
+            self._cached = (key, self._spread.export(since))
+        return self._cached[1]
--- a/basilwinch/membership/membership.py
+++ b/basilwinch/membership/membership.py
@@ -20,13 +20,12 @@
 from basilwinch.membership.seeds import Seeds
 from basilwinch.membership.spread import Replica, Spread
 from basilwinch.membership.transport import Transport
-from basilwinch.membership.watch import RevisionSource, Watcher, choose_watchers
+from basilwinch.membership.watch import RevisionSource, Watcher, choose_watchers, reading_delay
 from basilwinch.observability import DecisionLog
 from basilwinch.platform import VmList
 
 __all__ = ["Membership"]
 
-_MAX_DELTA = 64 * 1024
 # Part of the burst that must be left for pushes; without them probes carry the changes.
 _PUSH_LEVEL = 0.3
 # Digests of the rosters must differ for this long before all members are fetched; gossip alone
@@ -39,6 +38,8 @@
 _SEED_PERIODS = 10
 _EXPIRE_PERIODS = 60
 _DROP_LOG_S = 10.0
+# Shortest time between two fetches of the whole state after changes that did not fit.
+_WHOLE_S = 5.0
 
 
 class Membership:
@@ -88,9 +89,16 @@
         self._watcher = None
         if source:
             self._watcher = Watcher(
-                source, config, self._is_chosen, self._on_platform_read, rng, log
+                source,
+                config,
+                self._is_chosen,
+                self._reading_delay,
+                self._on_platform_read,
+                rng,
+                log,
             )
         self._nursery = None
+        self._whole_at = -_WHOLE_S
         self._choice = (-1, False)
         self._synced = False
         self._agreed_at = now
@@ -144,6 +152,10 @@
     def _is_chosen(self) -> bool:
         return self.is_watcher(trio.current_time())
 
+    def _reading_delay(self) -> float:
+        count = self._config.watchers_per_zone
+        return reading_delay(self.roster, count, self.spread.revision)
+
     def is_watching(self) -> bool:
         """Tell whether a watch is open; it lasts a little longer than the choice."""
         return self._watcher is not None and self._watcher.watching
@@ -195,15 +207,23 @@
             await self._push()
 
     async def _push(self) -> None:
-        """Send a new revision to peers that do not watch, those of the own zone first."""
+        """Send a new revision to a few peers."""
         if self.outbox.budget.level(trio.current_time()) < _PUSH_LEVEL:
             return
-        zone = self._config.zone
-        watchers = choose_watchers(self.roster, zone, self._config.watchers_per_zone)
+        zone, count = self._config.zone, self._config.watchers_per_zone
         revision = self.spread.revision
         behind = [entry for entry in self.roster.others() if entry.revision < revision]
+        zones = {entry.zone for entry in behind}
+        watchers = {node for name in zones for node in choose_watchers(self.roster, name, count)}
         self._rng.shuffle(behind)
-        behind.sort(key=lambda entry: (entry.zone != zone, entry.node in watchers))
+        behind.sort(key=lambda entry: (entry.node not in watchers, entry.zone != zone))
+        # One peer of the own zone that does not watch, then watchers, which reach other zones.
+        first = next(
+            (entry for entry in behind if entry.zone == zone and entry.node not in watchers), None
+        )
+        if first:
+            behind.remove(first)
+            behind.insert(0, first)
         for entry in behind[: self._config.push_peers]:
             await self.outbox.send_changes(entry)
 
@@ -259,7 +279,7 @@
             if failure is not None and failure.kind is not STALE_SENDER:
                 self.drop(failure)
                 continue
-            message = decode_body(packet.body, _MAX_DELTA)
+            message = decode_body(packet.body)
             if isinstance(message, Failure):
                 self.drop(message)
                 continue
@@ -309,10 +329,13 @@
         entry.revision, entry.ready = message.revision, message.ready
         self._compare_rosters(entry, message, now)
         if message.revision > self.spread.revision:
-            if message.delta:
-                self.spread.absorb(message.delta, entry.name)
-            elif message.large:
-                self._nursery.start_soon(self._fetcher.fetch, entry, False)
+            if message.large:
+                self._start_fetch(entry)
+            elif message.delta:
+                applied = self.spread.absorb(message.delta, entry.name)
+                if isinstance(applied, Failure) and now - self._whole_at > _WHOLE_S:
+                    self._whole_at = now
+                    self._start_fetch(entry, whole=True)
         self.spread.note_peer(packet.sender, message, len(self.roster) - 1)
         if message.payloads:
             failures = self.outbox.exchanges.absorb(entry.name, message.payloads, now)
@@ -342,11 +365,14 @@
         if message.revision < self.spread.revision:
             await self.outbox.send_changes(entry)
 
+    def _start_fetch(self, entry: Entry, members: bool = False, whole: bool = False) -> None:
+        self._nursery.start_soon(self._fetcher.fetch, entry, members, whole)
+
     async def _introduce(self, entry: Entry) -> None:
         message = self.outbox.header(Kind.DIGEST)
         await self.outbox.send(entry.address, message, None, entry.life)
         if not self._synced:
-            self._nursery.start_soon(self._fetcher.fetch, entry, True)
+            self._start_fetch(entry, members=True)
 
     def _compare_rosters(self, entry: Entry, message: Message, now: float) -> None:
         if message.roster == self.roster.digest:
@@ -355,4 +381,4 @@
         elif now - self._agreed_at > _DISAGREE_PERIODS * self._config.period_s:
             # The next try is spread over time because many nodes see the same difference.
             self._agreed_at = now - self._rng.random() * self._config.period_s
-            self._nursery.start_soon(self._fetcher.fetch, entry, True)
+            self._start_fetch(entry, members=True)
--- a/basilwinch/membership/message.py
+++ b/basilwinch/membership/message.py
@@ -85,7 +85,7 @@
     :param large: whether the receiver lacks more changes than a datagram holds
     :param roster: digest of the members that the sender knows
     :param updates: tuple of :class:`Update`
-    :param delta: changes that the receiver lacks, as :meth:`Replica.export` gives them
+    :param delta: changes that the receiver lacks, or the state, as the replica exports them
     :param payloads: tuple of (kind, bytes)
     :param probe: number of the probe, echoed by the answer
     :param about: target of an indirect probe
--- a/basilwinch/membership/outbox.py
+++ b/basilwinch/membership/outbox.py
@@ -112,17 +112,16 @@
             # The receiver learns what is thought of it and can contradict.
             message.updates += (entry.to_update(False),)
         room = MAX_DATAGRAM - _FIXED_BYTES - sum(map(_update_size, message.updates))
-        changes = b""
         if held is not None and held < self._spread.revision:
-            changes, message.large = self._spread.delta(held, room)
+            message.delta, message.large = self._spread.delta(held, room)
             if entry:
                 entry.sent_revision, entry.sent_at = self._spread.revision, now
         if entry and self.budget.level(now) > _PAYLOAD_LEVEL:
-            message.payloads = self.exchanges.export(room - len(changes), now, urgent, shares)
-        packet = self.seal(encode_body(message, changes), life)
+            message.payloads = self.exchanges.export(room - len(message.delta), now, urgent, shares)
+        packet = self.seal(encode_body(message), life)
         self.spend("sent", len(packet) + DATAGRAM_OVERHEAD)
         self.traffic[f"sent_{message.kind}"] += 1
-        self.traffic["sent_change_bytes"] += len(changes)
+        self.traffic["sent_change_bytes"] += len(message.delta)
         self.traffic["sent_payload_bytes"] += sum(len(data) for _, data in message.payloads)
         await self._transport.send(address, packet)
 
--- a/basilwinch/membership/schema.capnp
+++ b/basilwinch/membership/schema.capnp
@@ -37,7 +37,7 @@
   large @2 :Bool;          # the receiver is behind by more than a datagram holds
   roster @3 :UInt32;       # digest of the members that the sender knows
   updates @4 :List(Update);
-  delta @5 :Data;          # raw deflate of the changes that the receiver lacks
+  delta @5 :Data;          # changes that the receiver lacks, as the replica exports them
   payloads @6 :List(Payload);
   union {
     digest @7 :Void;
@@ -71,5 +71,5 @@
 
 struct FetchReply {
   members @0 :List(Update);
-  state @1 :Data;          # raw deflate, empty if the requester is not behind
+  state @1 :Data;          # empty if the requester is not behind
 }
--- a/basilwinch/membership/simulation.py
+++ b/basilwinch/membership/simulation.py
@@ -49,6 +49,10 @@
             struct.pack(">I", len(change)) + change for change in changes
         )
 
+    def warm(self, count: int) -> bool:
+        """Nothing to prepare."""
+        return False
+
     def absorb(self, data: bytes) -> bool | Failure:
         """Apply changes, whole and only forward."""
         since, count = _ENTRY.unpack_from(data)
@@ -89,6 +93,10 @@
         """Watch the head."""
         return self._store.watch(HEAD)
 
+    def is_met(self, event) -> bool:
+        """Tell whether the replica holds what an event announced."""
+        return self._replica.revision >= int(event.value)
+
 
 async def publish(store, change: bytes) -> int | None:
     """Accept a change with one compare-and-swap, rebasing until it succeeds.
--- a/basilwinch/membership/spread.py
+++ b/basilwinch/membership/spread.py
@@ -4,7 +4,6 @@
 from typing import Protocol
 
 from basilwinch.exception import NOT_READY, Failure
-from basilwinch.membership.codec import deflate
 from basilwinch.membership.message import Message
 from basilwinch.observability import DecisionLog
 
@@ -23,6 +22,9 @@
     def export(self, since: int) -> bytes:
         """Return the changes after a revision, or the whole state if that is too old."""
 
+    def warm(self, count: int) -> bool:
+        """Prepare a part of :meth:`export` of the whole state; returns whether parts are left."""
+
     def absorb(self, data: bytes) -> bool | Failure:
         """Apply what :meth:`export` gave, whole and only if it is newer."""
 
@@ -54,7 +56,7 @@
 
         :param since: revision that the peer holds
         :param room: bytes left in the message
-        :returns: (compressed changes or empty, whether they are too large for the message)
+        :returns: (changes or empty, whether they are too large for the message)
         """
         if since >= self.revision:
             return b"", False
@@ -66,32 +68,37 @@
         return self._replica.export(since)
 
     def changes(self, since: int) -> bytes:
-        """Return the compressed changes after a revision; the last ones are kept."""
+        """Return the changes after a revision; the last ones are kept."""
         key = (since, self.revision)
         data = self._deltas.get(key)
         if data is None:
-            data = deflate(self._replica.export(since))
+            data = self._replica.export(since)
             while len(self._deltas) >= _CACHED_DELTAS:
                 del self._deltas[next(iter(self._deltas))]
             self._deltas[key] = data
         return data
 
-    def absorb(self, delta: bytes, source: str) -> bool:
+    def warm(self) -> bool:
+        """Prepare a part of a whole state; returns whether parts are left."""
+        return self._replica.warm(1)
+
+    def absorb(self, delta: bytes, source: str) -> bool | Failure:
         """Apply changes from a peer.
 
-        :returns: whether this node holds a newer revision than before
+        :returns: whether this node holds a newer revision than before; a failure if the changes do
+            not follow the revision held, so that the whole state is needed
         """
         before = self.revision
         applied = self._replica.absorb(delta)
         if isinstance(applied, Failure):
             self.refused += 1
             self._log.record("revision", "refused", applied.reason, source=source, held=before)
-            return False
+            return applied
         if applied:
             self._log.record(
                 "revision", "applied", "newer than the one held", source=source, held=self.revision
             )
-        return bool(applied)
+        return applied
 
     def note_platform(self) -> None:
         """Note that the platform's head has been read and applied."""
--- a/basilwinch/membership/watch.py
+++ b/basilwinch/membership/watch.py
@@ -1,6 +1,7 @@
 """Watch of the platform by a few nodes of each zone."""
 
 import contextlib
+import hashlib
 import math
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import AbstractAsyncContextManager
@@ -15,9 +16,10 @@
 from basilwinch.membership.roster import Roster
 from basilwinch.observability import DecisionLog
 
-__all__ = ["RevisionSource", "Watcher", "choose_watchers"]
+__all__ = ["RevisionSource", "Watcher", "choose_watchers", "reading_delay"]
 
 _CHECK_S = 0.25
+_CHOICE_S = 5.0
 # A node that is no longer chosen goes on watching for a while, because a suspicion that is
 # contradicted would otherwise open and close a watch.
 _LINGER_S = 10.0
@@ -25,6 +27,11 @@
 # Polls in a row that succeed before the watch is opened again.
 _GOOD_POLLS = 2
 _LONGEST_TIMEOUT_S = 8.0
+# Watchers that read a new revision at the same time.
+_READERS = 2
+_READ_DELAYS_S = (0.0, 0.5, 2.0)
+# Spreads the reads of the remaining watchers if the first ones fail.
+_READ_STEP_S = 0.1
 
 
 class RevisionSource(Protocol):
@@ -38,11 +45,32 @@
         """
 
     def watch(self) -> AbstractAsyncContextManager[AsyncIterator]:
-        """Watch the head; yields once for each time it moved.
+        """Watch the head; yields an event each time it moved.
 
         :raises PlatformError: if the watch cannot be opened or breaks
         """
 
+    def is_met(self, event) -> bool:
+        """Tell whether the replica holds what an event announced."""
+
+
+def reading_delay(roster: Roster, count: int, revision: int) -> float:
+    """Return the seconds that this node leaves to other watchers before it reads a new revision.
+
+    Two watchers of the cluster read at once and two more after half a second; they send the changes
+    to the others, which read only if that fails. The order changes with each revision. Linear in
+    the number of nodes.
+
+    :param count: watchers of each zone
+    :param revision: revision held
+    """
+    zones = {entry.zone for entry in roster.entries.values()}
+    watchers = [node for zone in zones for node in choose_watchers(roster, zone, count)]
+    watchers.sort(key=lambda node: hashlib.blake2b(b"%d %d" % (node, revision)).digest())
+    own = roster.own.node
+    rank = watchers.index(own) if own in watchers else len(watchers)
+    return _READ_DELAYS_S[min(rank // _READERS, 2)] + (rank // _READERS) * _READ_STEP_S
+
 
 def choose_watchers(roster: Roster, zone: str, count: int) -> list[int]:
     """Return the ids of the nodes of a zone that watch: the ``count`` highest in rendezvous order
@@ -66,6 +94,7 @@
     :param source: :class:`RevisionSource`
     :param config: :class:`MembershipConfig`
     :param is_chosen: whether this node is to watch now
+    :param delay_s: seconds to wait between an event and the read that it asks for
     :param on_read: called after each successful read with whether the replica changed
     :param rng: source of randomness
     :param log: decision log
@@ -76,6 +105,7 @@
         source: RevisionSource,
         config: MembershipConfig,
         is_chosen: Callable[[], bool],
+        delay_s: Callable[[], float],
         on_read: Callable[[bool], Awaitable[None]],
         rng: Random,
         log: DecisionLog,
@@ -83,6 +113,8 @@
         self._source = source
         self._config = config
         self._is_chosen = is_chosen
+        self._delay_s = delay_s
+        self._event = None
         self._on_read = on_read
         self._rng = rng
         self._log = log
@@ -130,25 +162,31 @@
         post, moved = trio.open_memory_channel(1)
         async with trio.open_nursery() as nursery:
             # The iterator runs in a task of its own because a timeout would end a generator.
-            nursery.start_soon(_pump, moves, post)
+            nursery.start_soon(self._pump, moves, post)
             failure = await self._follow_moves(moved)
             nursery.cancel_scope.cancel()
         return failure
 
     async def _follow_moves(self, moved: trio.MemoryReceiveChannel) -> Failure | None:
-        chosen_at = trio.current_time()
+        chosen_at = check_at = trio.current_time()
         while True:
-            failure = await self._read(self._config.platform_timeout_s)
-            if failure is not None:
-                return failure
-            # A watch can stall without an error, so the head is read now and then. The jitter
-            # keeps the watchers from reading at the same time.
-            wait_s = self._config.watch_check_s * (0.75 + 0.5 * self._rng.random())
-            with trio.move_on_after(wait_s):
+            if trio.current_time() >= check_at:
+                failure = await self._read(self._config.platform_timeout_s)
+                if failure is not None:
+                    return failure
+                # A watch can stall without an error, so the head is read now and then. The jitter
+                # keeps the watchers from reading at the same time.
+                wait_s = self._config.watch_check_s * (0.75 + 0.5 * self._rng.random())
+                check_at = trio.current_time() + wait_s
+            has_moved = False
+            with trio.move_on_at(min(check_at, trio.current_time() + _CHOICE_S)):
                 try:
                     await moved.receive()
                 except trio.EndOfChannel:
                     return PLATFORM_UNAVAILABLE.because("the watch broke")
+                has_moved = True
+            if has_moved and not await self._is_met_by_peers():
+                check_at = -math.inf
             now = trio.current_time()
             if self._is_chosen():
                 chosen_at = now
@@ -173,13 +211,22 @@
             wait_s = min(self._config.poll_max_s, 2 * wait_s)
             timeout_s = min(_LONGEST_TIMEOUT_S, 2 * timeout_s)
 
-
-async def _pump(moves: AsyncIterator, post: trio.MemorySendChannel) -> None:
-    """Signal each move once; moves that come while one is signalled are merged."""
-    with post:
+    async def _is_met_by_peers(self) -> bool:
+        """After an event, leave time for a peer that reads first to send the changes."""
+        until = trio.current_time() + self._delay_s()
         try:
-            async for _ in moves:
-                with contextlib.suppress(trio.WouldBlock):
-                    post.send_nowait(None)
+            while trio.current_time() < until and not self._source.is_met(self._event):
+                await trio.sleep(min(_CHECK_S, until - trio.current_time()))
+            return self._source.is_met(self._event)
         except PlatformError:
-            return
+            return False
+
+    async def _pump(self, moves: AsyncIterator, post: trio.MemorySendChannel) -> None:
+        """Signal each move once; moves that come while one is signalled are merged."""
+        with post:
+            try:
+                async for self._event in moves:
+                    with contextlib.suppress(trio.WouldBlock):
+                        post.send_nowait(None)
+            except PlatformError:
+                return
