--- a/basilwinch/membership/membership.py
+++ b/basilwinch/membership/membership.py
@@ -20,7 +20,13 @@
 from basilwinch.membership.seeds import Seeds
 from basilwinch.membership.spread import Replica, Spread
 from basilwinch.membership.transport import Transport
-from basilwinch.membership.watch import RevisionSource, Watcher, choose_watchers, reading_delay
+from basilwinch.membership.watch import (
+    RevisionSource,
+    Watcher,
+    choose_watchers,
+    rank_watchers,
+    reading_delay,
+)
 from basilwinch.observability import DecisionLog
 from basilwinch.platform import VmList
 
@@ -99,6 +105,7 @@
             )
         self._nursery = None
         self._whole_at = -_WHOLE_S
+        self._order: list[int] = []
         self._choice = (-1, False)
         self._synced = False
         self._agreed_at = now
@@ -154,7 +161,8 @@
 
     def _reading_delay(self) -> float:
         count = self._config.watchers_per_zone
-        return reading_delay(self.roster, count, self.spread.revision)
+        self._order = rank_watchers(self.roster, count, self.spread.revision)
+        return reading_delay(self._order, self.roster.own.node)
 
     def is_watching(self) -> bool:
         """Tell whether a watch is open; it lasts a little longer than the choice."""
@@ -210,21 +218,16 @@
         """Send a new revision to a few peers."""
         if self.outbox.budget.level(trio.current_time()) < _PUSH_LEVEL:
             return
-        zone, count = self._config.zone, self._config.watchers_per_zone
-        revision = self.spread.revision
+        own, revision = self.roster.own, self.spread.revision
         behind = [entry for entry in self.roster.others() if entry.revision < revision]
-        zones = {entry.zone for entry in behind}
-        watchers = {node for name in zones for node in choose_watchers(self.roster, name, count)}
         self._rng.shuffle(behind)
-        behind.sort(key=lambda entry: (entry.node not in watchers, entry.zone != zone))
-        # One peer of the own zone that does not watch, then watchers, which reach other zones.
-        first = next(
-            (entry for entry in behind if entry.zone == zone and entry.node not in watchers), None
-        )
-        if first:
-            behind.remove(first)
-            behind.insert(0, first)
-        for entry in behind[: self._config.push_peers]:
+        ranks = {node: rank for rank, node in enumerate(self._order)}
+        rest = [entry for entry in behind if entry.node not in ranks]
+        rest.sort(key=lambda entry: entry.zone != own.zone)
+        watchers = [entry for entry in behind if entry.node in ranks]
+        watchers.sort(key=lambda entry: ranks[entry.node])
+        # The next watchers in order need not read then; the first of the rest is in the own zone.
+        for entry in (rest[:1] + watchers + rest[1:])[: self._config.push_peers]:
             await self.outbox.send_changes(entry)
 
     async def _probe(self) -> None:
--- a/basilwinch/membership/watch.py
+++ b/basilwinch/membership/watch.py
@@ -1,7 +1,6 @@
 """Watch of the platform by a few nodes of each zone."""
 
 import contextlib
-import hashlib
 import math
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import AbstractAsyncContextManager
@@ -16,7 +15,7 @@
 from basilwinch.membership.roster import Roster
 from basilwinch.observability import DecisionLog
 
-__all__ = ["RevisionSource", "Watcher", "choose_watchers", "reading_delay"]
+__all__ = ["RevisionSource", "Watcher", "choose_watchers", "rank_watchers", "reading_delay"]
 
 _CHECK_S = 0.25
 _CHOICE_S = 5.0
@@ -29,7 +28,11 @@
 _LONGEST_TIMEOUT_S = 8.0
 # Watchers that read a new revision at the same time.
 _READERS = 2
-_READ_DELAYS_S = (0.0, 0.5, 2.0)
+_SECOND_DELAY_S = 0.5
+# A few watchers mean a small cluster, where 3 s is the target for the spread; else it is 16 s.
+_FEW_WATCHERS = 6
+_LAST_DELAY_FEW_S = 1.5
+_LAST_DELAY_S = 5.0
 # Spreads the reads of the remaining watchers if the first ones fail.
 _READ_STEP_S = 0.1
 
@@ -54,22 +57,37 @@
         """Tell whether the replica holds what an event announced."""
 
 
-def reading_delay(roster: Roster, count: int, revision: int) -> float:
-    """Return the seconds that this node leaves to other watchers before it reads a new revision.
-
-    Two watchers of the cluster read at once and two more after half a second; they send the changes
-    to the others, which read only if that fails. The order changes with each revision. Linear in
-    the number of nodes.
+def rank_watchers(roster: Roster, count: int, revision: int) -> list[int]:
+    """Return the watchers of all zones in the order in which they read the next revision. The order
+    rotates with each revision, so that all of them read equally often; a random order would give
+    the busiest one twice the mean. Costs n log n in the number of nodes.
 
     :param count: watchers of each zone
     :param revision: revision held
     """
     zones = {entry.zone for entry in roster.entries.values()}
     watchers = [node for zone in zones for node in choose_watchers(roster, zone, count)]
-    watchers.sort(key=lambda node: hashlib.blake2b(b"%d %d" % (node, revision)).digest())
-    own = roster.own.node
-    rank = watchers.index(own) if own in watchers else len(watchers)
-    return _READ_DELAYS_S[min(rank // _READERS, 2)] + (rank // _READERS) * _READ_STEP_S
+    watchers.sort(key=lambda node: roster.entries[node].rank)
+    first = revision * _READERS % len(watchers) if watchers else 0
+    return watchers[first:] + watchers[:first]
+
+
+def reading_delay(order: list[int], node: int) -> float:
+    """Return the seconds that a watcher leaves to others before it reads a new revision.
+
+    Two watchers read at once and send the changes on, first to the next in order. Two more read
+    after half a second, and the others later, each only if nothing has reached it.
+
+    :param order: watchers as :func:`rank_watchers` gives them
+    """
+    rank = order.index(node) if node in order else len(order)
+    if rank < _READERS:
+        return 0.0
+    if rank < 2 * _READERS:
+        return _SECOND_DELAY_S
+    return (
+        _LAST_DELAY_S if len(order) > _FEW_WATCHERS else _LAST_DELAY_FEW_S
+    ) + rank * _READ_STEP_S
 
 
 def choose_watchers(roster: Roster, zone: str, count: int) -> list[int]:
