--- /dev/null
+++ b/bench/decision.py
@@ -0,0 +1,82 @@
+"""Time and memory of routing decisions and of the planner at growing fleets."""
+
+import gc
+import random
+import time
+import tracemalloc
+
+from basilwinch.observability import DecisionLog
+from basilwinch.pipeline import LoadReport, TokenFrame
+from basilwinch.placement import Planner, PlannerConfig
+from basilwinch.routing import ChainRouter, RouteRequest, RoutingConfig
+from bench.fleet import MODEL, WIDE_ZONES, Work, make_catalog
+from bench.simulation import WORKLOAD, percentile
+
+__all__ = ["SIZES", "measure_planner", "measure_router"]
+
+SIZES = (33, 330, 3_300, 12_000)
+
+_DECISIONS = 5_000
+_NODES = 490
+
+
+def measure_planner(size: int, seed: int = 1):
+    """Return (row, catalog, placements): seconds and memory of a plan for ``size`` servers."""
+    catalog = make_catalog(seed, size, WIDE_ZONES if size > 1_000 else None)
+    planner = Planner(PlannerConfig(), random.Random(seed), DecisionLog.for_benchmark())
+    started = time.perf_counter()
+    result = planner.plan(catalog.servers, catalog.models, WORKLOAD)
+    seconds = time.perf_counter() - started
+    tracemalloc.start()
+    planner.plan(catalog.servers, catalog.models, WORKLOAD)
+    peak = tracemalloc.get_traced_memory()[1]
+    tracemalloc.stop()
+    row = {"servers": size, "plan_s": seconds, "plan_peak_mb": peak / 1e6}
+    return row, catalog, result.placements
+
+
+def measure_router(catalog, placements, seed: int = 1) -> dict:
+    """Return time and memory of decisions of one node, log and counter included."""
+    size = len(catalog.servers)
+    region = next(iter(catalog.servers.values())).region
+    config = RoutingConfig("node0", region=region, nodes=9 if size < 1_000 else _NODES)
+    tracemalloc.start()
+    router = ChainRouter.from_config(config, random.Random(seed), DecisionLog.for_benchmark())
+    router.update(catalog, placements, 0.0)
+    router.capacity(MODEL.name)
+    memory = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    started = time.perf_counter()
+    router.update(catalog, placements, 0.0)
+    update_s = time.perf_counter() - started
+    work = Work(seed)
+    requests = [
+        RouteRequest(name, MODEL.name, key, len(prompt) // 4, tokens)
+        for name, prompt, tokens, key in (work.draw() for _ in range(_DECISIONS))
+    ]
+    gc.collect()
+    gc.freeze()
+    times, open_choices, now = [], [], 0.0
+    for request in requests:
+        now += 0.03
+        before = time.perf_counter()
+        choice = router.choose(request, now)
+        times.append(time.perf_counter() - before)
+        router.begin(choice, now)
+        load = tuple(LoadReport(name, 3, 8, 0.5, 0.004) for name in choice.chain.servers)
+        for position in range(10):
+            frame = TokenFrame("r", 1, position, 1, choice.chain.stages, "", False, load)
+            router.observe(choice, frame, 0.03, now)
+        open_choices.append(choice)
+        if len(open_choices) > 60:
+            router.finish(open_choices.pop(0), None, now)
+    gc.unfreeze()
+    return {
+        "servers": size,
+        "servers_used": len(router.in_use(MODEL.name)),
+        "choose_mean_us": sum(times) / len(times) * 1e6,
+        "choose_p50_us": percentile(times, 0.5) * 1e6,
+        "choose_p99_us": percentile(times, 0.99) * 1e6,
+        "update_ms": update_s * 1e3,
+        "router_mb": memory / 1e6,
+    }
--- a/bench/drive.py
+++ b/bench/drive.py
@@ -1,56 +1,67 @@
 """Nodes that drive the stand-in engines, with callbacks on the timeline instead of tasks."""
 
+from collections import defaultdict
+
 from basilwinch.routing import RouteRequest
 from basilwinch.server import EngineCall
 from basilwinch.standin.token import count_prompt_tokens
+from bench.fleet import SETTINGS
+
+__all__ = ["Meter", "Node", "Stream"]
 
-__all__ = ["Meter", "Node"]
+# One of so many gaps is kept for the percentiles.
+_GAP_SAMPLE = 4
 
 
 class Meter:
     """Counts what the streams of all nodes deliver between two times.
 
+    The work of a response is what engines with a perfect prefix cache would spend on it: one unit
+    for each token after the first one, and ``prefill_share`` for each prompt token that no other
+    request shares. So a bound in units a second does not depend on the policy.
+
     :param start: start of the measured time
     :param end: end of the measured time
     """
 
-    __slots__ = (
-        "start",
-        "end",
-        "tokens",
-        "prompt_tokens",
-        "finished",
-        "failed",
-        "gaps",
-        "waits",
-        "firsts",
-        "by_second",
-        "late",
-    )
+    __slots__ = ("start", "end", "work", "tokens", "finished", "failed", "gaps", "waits", "firsts",
+                 "work_by_second")  # fmt: skip
 
     def __init__(self, start: float, end: float):
         self.start = start
         self.end = end
+        self.work = 0.0
         self.tokens = 0
-        self.prompt_tokens = 0
         self.finished = 0
         self.failed = 0
         #: Gaps between tokens, and the part of them that is not engine time.
         self.gaps = []
         self.waits = []
         self.firsts = []
-        self.by_second = {}
-        self.late = 0
+        self.work_by_second = defaultdict(float)
 
     def inside(self, now: float) -> bool:
         """Return whether ``now`` is in the measured time."""
         return self.start <= now < self.end
 
+    def add_work(self, work: float, now: float) -> None:
+        """Count work and a token."""
+        self.work += work
+        self.tokens += 1
+        self.work_by_second[int(now - self.start)] += work
+
+    def rate(self, first_s: float = 0.0, last_s: float | None = None) -> float:
+        """Return the work a second between two whole seconds of the measured time."""
+        end = int(self.end - self.start) if last_s is None else int(last_s)
+        seconds = range(int(first_s), end)
+        return sum(self.work_by_second[second] for second in seconds) / len(seconds)
+
 
 class Stream:
     """One request in progress on a node."""
 
-    __slots__ = ("node", "choice", "sequence", "sent", "last", "engine_s", "tokens", "on_end")
+    __slots__ = ("node", "choice", "sequence", "sent", "last", "engine_s", "tokens", "on_end",
+                 "failure")  # fmt: skip
 
     def __init__(self, node, choice, sent, on_end):
         self.node = node
@@ -61,6 +72,7 @@
         self.engine_s = 0.0
         self.tokens = 0
         self.on_end = on_end
+        self.failure = None
 
     def on_frame(self, frame):
         """Pass a frame to the router and the meter."""
@@ -70,19 +82,17 @@
         self.last = now
         node.router.observe(self.choice, frame, gap, now)
         meter = node.meter
+        engine_s = self.sequence.engine_s
         if meter.start <= now < meter.end:
-            meter.tokens += 1
-            second = int(now - meter.start)
-            meter.by_second[second] = meter.by_second.get(second, 0) + 1
-            engine_s = self.sequence.engine_s
-            if self.tokens:
-                if self.tokens % 4 == 0:
+            if not self.tokens:
+                meter.firsts.append(now - self.sent)
+                meter.add_work(self._prompt_work(), now)
+            else:
+                meter.add_work(1.0, now)
+                if self.tokens % _GAP_SAMPLE == 0:
                     meter.gaps.append(gap)
                     meter.waits.append(gap - (engine_s - self.engine_s))
-            else:
-                meter.firsts.append(now - self.sent)
-                meter.prompt_tokens += self.sequence.known_tokens
-        self.engine_s = self.sequence.engine_s
+        self.engine_s = engine_s
         self.tokens += 1
         if frame.final:
             if meter.inside(now):
@@ -96,7 +106,12 @@
             self.node.meter.failed += 1
         self._end(failure, now)
 
+    def _prompt_work(self):
+        shared = SETTINGS.prefix_share if self.sequence.call.cache_key else 0.0
+        return SETTINGS.prefill_share * self.sequence.known_tokens * (1 - shared)
+
     def _end(self, failure, now):
+        self.failure = failure
         self.node.router.finish(self.choice, failure, now)
         self.node.in_progress -= 1
         self.on_end(self)
@@ -109,17 +124,8 @@
     :param router: router or baseline policy
     """
 
-    __slots__ = (
-        "zone",
-        "router",
-        "engines",
-        "timeline",
-        "meter",
-        "work",
-        "model",
-        "in_progress",
-        "refused",
-    )
+    __slots__ = ("zone", "router", "engines", "timeline", "meter", "work", "model", "in_progress",
+                 "refused")  # fmt: skip
 
     def __init__(self, zone, router, engines, meter, work, model):
         self.zone = zone
@@ -133,16 +139,21 @@
         self.refused = 0
 
     def send(self, on_end, draw=None, sent=None, deadline_s=None):
-        """Choose a chain and start a stream; returns it, or None if there is no chain."""
+        """Choose a chain and start a stream.
+
+        :param on_end: called with the stream when it ends
+        :param draw: (request, prompt, tokens, cache key), drawn if None
+        :param sent: when the caller sent the request, now if None
+        :returns: the stream, or the router's failure
+        """
         now = self.timeline.now
         name, prompt, tokens, key = draw or self.work.draw()
-        request = RouteRequest(
-            name, self.model, key, count_prompt_tokens(prompt), tokens, deadline_s
-        )
+        prompt_tokens = count_prompt_tokens(prompt)
+        request = RouteRequest(name, self.model, key, prompt_tokens, tokens, deadline_s)
         choice = self.router.choose(request, now)
         if not choice:
             self.refused += 1
-            return None
+            return choice
         self.router.begin(choice, now)
         self.in_progress += 1
         stream = Stream(self, choice, now if sent is None else sent, on_end)
@@ -154,6 +165,6 @@
         """Keep as many streams in progress as ``capacity()`` allows, from now on."""
         limit = capacity()
         while self.in_progress < limit:
-            if self.send(lambda stream: self.keep_busy(capacity)) is None:
+            if not self.send(lambda stream: self.keep_busy(capacity)):
                 self.timeline.at(self.timeline.now + 0.1, self.keep_busy, capacity)
                 return
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -7,9 +7,21 @@
 from basilwinch.pipeline import Placement, Stage
 from basilwinch.standin import EngineSettings, Network
 
-__all__ = ["KINDS", "MODEL", "SETTINGS", "Work", "equal_split", "make_catalog", "make_network"]
-
+__all__ = [
+    "KINDS",
+    "MODEL",
+    "SETTINGS",
+    "WIDE_ZONES",
+    "ZONES",
+    "Work",
+    "equal_split",
+    "make_catalog",
+    "make_network",
+]
+
+#: Zones of deployment 1, and of a fleet of the design size: 11 zones in 4 regions.
 ZONES = ("cluj-centru", "cluj-somes", "cluj-manastur")
+WIDE_ZONES = {f"zone{number}": f"region{number % 4}" for number in range(11)}
 
 #: Accelerators: tokens a second through one layer at full batch, and layers that fit in memory.
 #: The mix delivers 555 tokens/s for each server, as 6.7 M tokens/s on 12,000 servers do.
@@ -26,8 +38,13 @@
 SETTINGS = EngineSettings(max_batch=8, prefill_share=0.05, prefix_share=0.5)
 
 
-def make_catalog(seed: int, count: int = 33) -> Catalog:
-    """Return a catalog of mixed servers in three zones."""
+def make_catalog(seed: int, count: int = 33, zones: dict[str, str] | None = None) -> Catalog:
+    """Return a catalog of mixed servers.
+
+    :param zones: regions by zone; the three zones of deployment 1 by default
+    """
+    zones = zones or dict.fromkeys(ZONES, "ro-nord")
+    zone_names = list(zones)
     rng = random.Random(f"{seed}/fleet")
     names = list(KINDS)
     servers = {}
@@ -35,11 +52,12 @@
         kind = names[number % len(names)]
         speed, layers = KINDS[kind]
         name = f"s{number:05d}"
+        zone = rng.choice(zone_names)
         servers[name] = Server(
             name,
             f"10.0.{number // 250}.{number % 250}:8000",
-            rng.choice(ZONES),
-            "ro-nord",
+            zone,
+            zones[zone],
             kind,
             2,
             int(layers * MODEL.weight_bytes_per_layer * 1.1),
