--- a/basilwinch/routing/estimate.py
+++ b/basilwinch/routing/estimate.py
@@ -203,10 +203,10 @@
         link = self._links.get((source.name, target.name))
         if link is None:
             return self.prior((source.zone, target.zone))
-        prior = self.prior(link.zones)
         age = now - link.seen_at
         if age < 1.0:
             return link.delay_s
+        prior = self.prior(link.zones)
         return prior + (link.delay_s - prior) * 0.5 ** (age / self._half_life_s)
 
     def find(self, source: ServerEstimate, target: ServerEstimate, now: float) -> LinkEstimate:
--- a/basilwinch/routing/fleet.py
+++ b/basilwinch/routing/fleet.py
@@ -122,6 +122,10 @@
             stage.tally = self.tally(model)
         return graph
 
+    def layers(self, model: str) -> int:
+        """Return the number of layers of a model in use."""
+        return self._layers[model]
+
     def tally(self, model: str) -> list[int]:
         """Return the number of this node's sequences on a model, as a list of one."""
         return self._tallies.setdefault(model, [0])
--- a/basilwinch/routing/graph.py
+++ b/basilwinch/routing/graph.py
@@ -10,6 +10,9 @@
 __all__ = ["Boundary", "StageGraph"]
 
 _RING_POINTS = 8
+# Stages tried for one cache key: a second one takes over when the first has too much load.
+_HOMES = 2
+_HOMES_KEPT = 2_000
 
 
 class Boundary:
@@ -18,7 +21,7 @@
     :param stages: list of :class:`~basilwinch.routing.estimate.StageEstimate`
     """
 
-    __slots__ = ("stages", "weights", "total", "remaining_s", "_ring", "_ring_stages")
+    __slots__ = ("stages", "weights", "total", "remaining_s", "_ring", "_ring_stages", "_homes")
 
     def __init__(self, stages: list[StageEstimate]):
         self.stages = stages
@@ -33,23 +36,28 @@
         )
         self._ring = [point for point, _ in points]
         self._ring_stages = [stages[index] for _, index in points]
+        self._homes = {}
 
-    def sample(self, rng) -> StageEstimate:
-        """Return a random stage, in proportion to the flows. Logarithmic in the stages."""
-        return self.stages[bisect_left(self.weights, rng.random() * self.total)]
-
-    def homes(self, digest: int, count: int) -> list[StageEstimate]:
+    def homes(self, digest: int) -> list[StageEstimate]:
         """Return the first stages on the hash ring for a cache key, the same on every node.
 
         :param digest: CRC-32 of the cache key
         """
+        found = self._homes.get(digest)
+        if found is None:
+            if len(self._homes) >= _HOMES_KEPT:
+                self._homes.clear()
+            found = self._homes[digest] = self._find_homes(digest)
+        return found
+
+    def _find_homes(self, digest: int) -> list[StageEstimate]:
         start = bisect_left(self._ring, digest)
         found = []
-        for offset in range(min(len(self._ring), 4 * count)):
+        for offset in range(min(len(self._ring), 4 * _HOMES)):
             stage = self._ring_stages[(start + offset) % len(self._ring)]
             if stage not in found:
                 found.append(stage)
-                if len(found) == count:
+                if len(found) == _HOMES:
                     break
         return found
 
--- a/basilwinch/routing/path.py
+++ b/basilwinch/routing/path.py
@@ -1,6 +1,7 @@
 """Search for a chain: sampled, by affinity, for a probe or in isolation."""
 
 import random
+from bisect import bisect_left
 from collections import deque
 from zlib import crc32
 
@@ -14,7 +15,6 @@
 
 _REMAINING_WEIGHT = 0.1
 _LINKS_WEIGHT = 0.02
-_PREFIX_HOMES = 2
 
 
 class PathFinder:
@@ -49,9 +49,11 @@
         elif self._fleet.watched:
             path, reason = self._probe(graph, request, now), "probe"
         if path is None and graph.complete:
-            path, reason = self._sample(graph, request, now)
+            sampled = self._sample(graph, request, now)
+            if sampled is not None:
+                return sampled
         if path is None:
-            path, reason = self._rest(graph, request, now)
+            path, reason = self._rest(request), "last resort"
         if path is None:
             return None
         return path, self._token_s(path, now), reason
@@ -85,57 +87,73 @@
         return total
 
     def _sample(self, graph: StageGraph, request: RouteRequest, now: float):
-        """Build a path boundary by boundary; (None, reason) at a dead end."""
+        """Build a path boundary by boundary; None at a dead end.
+
+        This is the hot path of every request, hence the local names.
+        """
         boundaries = graph.boundaries
-        links = self._links
+        layers = graph.layers
+        link_delay = self._links.delay
+        random_float = self._rng.random
+        samples = range(self._config.samples)
         avoid = request.avoid
         digest = crc32(request.cache_key.encode()) if request.cache_key else None
         path = []
         reason = "load"
-        previous = None
+        token_s = 0.0
+        previous = first = None
         at = 0
-        while at < graph.layers:
+        while at < layers:
             boundary = boundaries.get(at)
             if boundary is None:
-                return None, reason
+                return None
             best = None
-            best_cost = 0.0
-            for _ in range(self._config.samples):
-                stage = boundary.sample(self._rng)
+            best_cost = best_delay = 0.0
+            for _ in samples:
+                stage = boundary.stages[
+                    bisect_left(boundary.weights, random_float() * boundary.total)
+                ]
                 server = stage.server
-                if server.isolated or server.name in avoid or stage is best:
+                if stage is best or server.isolated or server.name in avoid:
                     continue
-                cost = stage.delay()
+                cost = delay = stage.delay()
                 if previous is not None:
-                    cost += links.delay(previous, server, now)
-                if stage.end < graph.layers:
+                    cost += link_delay(previous, server, now)
+                if stage.end < layers:
                     cost += boundaries[stage.end].remaining_s
-                elif path:
-                    cost += links.delay(server, path[0].server, now)
+                elif first is not None:
+                    cost += link_delay(server, first, now)
                 if best is None or cost < best_cost:
-                    best, best_cost = stage, cost
+                    best, best_cost, best_delay = stage, cost, delay
             if best is None:
                 best = self._any(boundary, avoid)
                 if best is None:
-                    return None, reason
+                    return None
+                best_delay = best.delay()
             else:
                 boundary.remaining_s += (best_cost - boundary.remaining_s) * _REMAINING_WEIGHT
             if digest is not None:
-                home = self._home(boundary, digest, best, avoid)
+                home = self._home(boundary, digest, best, best_delay, avoid)
                 if home is not None:
                     best, reason = home, "affinity"
             path.append(best)
-            previous = best.server
+            token_s += best_delay
+            server = best.server
+            if previous is None:
+                first = server
+            else:
+                token_s += link_delay(previous, server, now)
+            previous = server
             at = best.end
-        return path, reason
+        return path, token_s + link_delay(previous, first, now), reason
 
-    def _home(self, boundary, digest: int, best: StageEstimate, avoid) -> StageEstimate | None:
-        """Return the stage where the prefix is likely cached, unless it has too much load.
+    def _home(self, boundary, digest: int, best: StageEstimate, best_delay: float, avoid):
+        """Return the stage where the prefix is likely cached, or None if it has too much load.
 
         Notes: consistent hashing with bounded loads (Mirrokni, Thorup and Zadimoghaddam 2018).
         """
-        limit = best.delay() * self._config.affinity_load
-        for stage in boundary.homes(digest, _PREFIX_HOMES):
+        limit = best_delay * self._config.affinity_load
+        for stage in boundary.homes(digest):
             server = stage.server
             if server.isolated or server.name in avoid:
                 continue
@@ -176,11 +194,11 @@
         )
         return _search(stages, 0, graph.layers, avoid, None)
 
-    def _rest(self, graph: StageGraph, request: RouteRequest, now: float):
+    def _rest(self, request: RouteRequest):
         """Search all live stages, slow and isolated ones included, when sampling found none."""
         stages = self._fleet.live_stages(request.model)
-        path = _search(stages, 0, graph.layers, request.avoid, self._rng)
-        return path, "last resort"
+        layers = self._fleet.layers(request.model)
+        return _search(stages, 0, layers, request.avoid, self._rng)
 
 
 def _search(stages, first: int, end: int, avoid, rng):
--- a/basilwinch/routing/request.py
+++ b/basilwinch/routing/request.py
@@ -57,7 +57,7 @@
         "region": "",
         "nodes": 1,
         "subset": 384,
-        "samples": 3,
+        "samples": 2,
         "own_weight": 9.0,
         "max_batch": 8,
         "occupancy": 1.7,
