--- a/basilwinch/exception.py
+++ b/basilwinch/exception.py
@@ -159,6 +159,10 @@
 DRAINING = FailureKind("draining", 503, "The node is leaving.", True)
 RETRIES_EXHAUSTED = FailureKind("retries_exhausted", 502, "Every attempt failed.", True)
 
+REQUEST_QUARANTINED = FailureKind(
+    "request_quarantined", 422, "The request is refused for a time because it crashed servers."
+)
+
 # Frames.
 WRONG_REQUEST = FailureKind("wrong_request", 502, "A frame belongs to another request.")
 WRONG_ATTEMPT = FailureKind("wrong_attempt", 502, "A frame belongs to another attempt.")
@@ -190,5 +194,51 @@
 )
 LEASE_LOST = FailureKind("lease_lost", 409, "The lease is not held any more.")
 
+# Orders.
+ORDER_NOT_CLAIMED = FailureKind(
+    "order_not_claimed", 503, "The order was not run because its claim could not be written.", True
+)
+ORDER_ID_INVALID = FailureKind(
+    "order_id_invalid", 400, "The order id is missing, too long or too old."
+)
+ORDER_MISMATCH = FailureKind(
+    "order_mismatch", 422, "The order id was used before for a different call."
+)
+ORDER_NOT_SENT = FailureKind(
+    "order_not_sent", 503, "The order was claimed but not sent; it was not run.", True
+)
+
+# Release notes.
+NOTE_UNREADABLE = FailureKind("note_unreadable", 400, "The file of the note cannot be read.")
+NOTE_SYNTAX = FailureKind("note_syntax", 400, "The note is not valid TOML in UTF-8.")
+NOTE_UNKNOWN_TABLE = FailureKind("note_unknown_table", 400, "A table of the note is not known.")
+NOTE_UNKNOWN_KEY = FailureKind("note_unknown_key", 400, "A key of the entry is not known.")
+NOTE_MISSING_KEY = FailureKind("note_missing_key", 400, "The entry lacks a key.")
+NOTE_WRONG_VALUE = FailureKind("note_wrong_value", 400, "A value of the entry is not valid.")
+NOTE_WRONG_NAME = FailureKind("note_wrong_name", 400, "The name of the entry is not valid.")
+NOTE_DUPLICATE = FailureKind("note_duplicate", 400, "The note names an entry twice.")
+NOTE_CONFUSABLE = FailureKind("note_confusable", 400, "Two names look alike.")
+NOTE_EXISTS = FailureKind("note_exists", 409, "An added entry exists already.")
+NOTE_NOT_FOUND = FailureKind("note_not_found", 409, "A changed or withdrawn entry does not exist.")
+NOTE_UNKNOWN_REFERENCE = FailureKind(
+    "note_unknown_reference", 409, "The entry names another entry that does not exist."
+)
+NOTE_STILL_NEEDED = FailureKind("note_still_needed", 409, "A withdrawn entry is still needed.")
+NOTE_NOT_UNIQUE = FailureKind("note_not_unique", 409, "Two entries share a value that must differ.")
+NOTE_EMPTY = FailureKind("note_empty", 400, "The note changes nothing.")
+NOTE_INVALID = FailureKind("note_invalid", 400, "The note has errors.")
+NOTE_CONFLICT = FailureKind("note_conflict", 409, "Another note changed the same entries.")
+NOTE_CONTENDED = FailureKind("note_contended", 503, "Other notes kept coming first.", True)
+NOTE_UNSETTLED = FailureKind(
+    "note_unsettled", 503, "Whether the note was accepted could not be found out yet.", True
+)
+UNKNOWN_REVISION = FailureKind("unknown_revision", 404, "The history does not hold the revision.")
+RELEASE_MALFORMED = FailureKind("release_malformed", 502, "Stored or received state is malformed.")
+RELEASE_GAP = FailureKind("release_gap", 409, "Changes between two revisions are missing.", True)
+RELEASE_FORKED = FailureKind(
+    "release_forked", 409, "A newer revision does not contain the one held."
+)
+NOT_IN_EFFECT = FailureKind("not_in_effect", 504, "Not every node holds the revision yet.", True)
+
 # Settings.
 INVALID_SETTING = FailureKind("invalid_setting", 400, "A setting is not valid.")
