--- a/basilwinch/routing/estimate.py
+++ b/basilwinch/routing/estimate.py
@@ -10,7 +10,10 @@
 _REPORT_S = 1.0
 _SLOW_WEIGHT = 0.3
 _LINK_WEIGHT = 0.3
-_ZONE_WEIGHT = 0.02
+# Relative step of the usual delay between two zones. Steps of equal size follow the median, which
+# one degraded link does not move.
+_ZONE_STEP = 0.01
+_LEAST_DELAY_S = 1e-5
 # Part of a full step that does not depend on the number of sequences, and the part of it that a
 # sequence waits for the step in progress. Both only shape the delay of a lightly loaded server.
 _FIXED_PART = 0.3
@@ -176,7 +179,7 @@
     not to blame is corrected by the other chains that use it.
 
     :param limit: links kept at most; the oldest goes first
-    :param half_life_s: time after which half of a link's excess over its zones' average
+    :param half_life_s: time after which half of a link's excess over its zones' median
         is forgotten
     """
 
@@ -192,7 +195,7 @@
         return len(self._links)
 
     def prior(self, zones: tuple[str, str]) -> float:
-        """Return the average delay of links between two zones, in seconds."""
+        """Return the usual (median) delay of links between two zones, in seconds."""
         delay = self._zones.get(zones)
         if delay is None:
             delay = self._zones[zones] = 0.0002 if zones[0] == zones[1] else 0.001
@@ -234,4 +237,5 @@
             link.delay_s = max(0.0, link.delay_s + step)
             link.seen_at = now
             prior = self.prior(link.zones)
-            self._zones[link.zones] = prior + (link.delay_s - prior) * _ZONE_WEIGHT
+            factor = 1 + _ZONE_STEP if link.delay_s > prior else 1 - _ZONE_STEP
+            self._zones[link.zones] = max(_LEAST_DELAY_S, prior * factor)
--- a/bench/drive.py
+++ b/bench/drive.py
@@ -1,6 +1,6 @@
 """Nodes that drive the stand-in engines, with callbacks on the timeline instead of tasks."""
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 
 from basilwinch.routing import RouteRequest
 from basilwinch.server import EngineCall
@@ -31,6 +31,7 @@
         "tokens",
         "finished",
         "failed",
+        "failures",
         "gaps",
         "waits",
         "firsts",
@@ -44,6 +45,8 @@
         self.tokens = 0
         self.finished = 0
         self.failed = 0
+        #: Codes of all failures, also outside of the measured time.
+        self.failures = Counter()
         #: Gaps between tokens, and the part of them that is not engine time.
         self.gaps = []
         self.waits = []
@@ -123,6 +126,7 @@
     def on_failure(self, failure):
         """Count the failure."""
         now = self.node.timeline.now
+        self.node.meter.failures[failure.code] += 1
         if self.node.meter.inside(now):
             self.node.meter.failed += 1
         self._end(failure, now)
