--- /dev/null
+++ b/basilwinch/daemon/node.py
@@ -0,0 +1,160 @@
+"""One entry node: its parts, its start and its end."""
+
+import random
+from functools import partial
+
+import prometheus_client
+import structlog
+import trio
+
+from basilwinch.catalog import Server
+from basilwinch.daemon.connected import PlatformSource, build_membership, follow_members
+from basilwinch.daemon.core import CoreConfig, NodeCore, Outside
+from basilwinch.daemon.embedded import EmbeddedPlatform, plan_placements
+from basilwinch.daemon.holding import build_holding_note
+from basilwinch.daemon.server import drain_gateway, serve_application, wait_for_signal
+from basilwinch.exception import INVALID_SETTING, ConfigurationError, Failure
+from basilwinch.gateway import (
+    ChatHandler,
+    Gateway,
+    GatewayConfig,
+    GatewayMetrics,
+    NodeView,
+    PlainHandler,
+    RequestIds,
+)
+from basilwinch.membership import Membership
+from basilwinch.platform.etcd import EtcdConfig, EtcdStore
+from basilwinch.release import Publisher, ReleaseNote, State, read_note_file
+from basilwinch.server import HttpEngineClient, HttpServiceClient
+from basilwinch.settings import Settings
+
+__all__ = ["Node"]
+
+
+class Node:
+    """One entry node.
+
+    :param settings: settings of the daemon
+    :param core: decision parts
+    :param gateway: ASGI application
+    """
+
+    __slots__ = ("settings", "core", "gateway", "tasks", "_log")
+
+    def __init__(self, settings: Settings, core: NodeCore, gateway: Gateway, tasks):
+        self.settings = settings
+        self.core = core
+        self.gateway = gateway
+        #: Background tasks, each an async function without arguments.
+        self.tasks = [*tasks, core.run, core.orders.maintain]
+        self._log = structlog.get_logger("daemon")
+
+    @classmethod
+    async def from_config(cls, settings: Settings, rng: random.Random) -> "Node":
+        """Build a node.
+
+        :param settings: settings of the daemon
+        :param rng: source of random choices
+        :raises BasilwinchError: if its release note or its settings do not fit
+        """
+        if settings.embedded:
+            return await cls._embedded(settings, rng)
+        if settings.platform is None:
+            reason = "--platform: an address is needed unless --embedded is given"
+            raise ConfigurationError(INVALID_SETTING.because(reason, faults=[reason]))
+        return await cls._connected(settings, rng)
+
+    @classmethod
+    async def _connected(cls, settings: Settings, rng: random.Random) -> "Node":
+        ip, port = settings.platform
+        host = f"[{ip}]" if ":" in ip else ip
+        store = EtcdStore.from_config(EtcdConfig((f"http://{host}:{port}",)))
+        find_server = _ServerLookup()
+        engines = HttpEngineClient.from_config(find_server, settings.slots)
+        services = HttpServiceClient.from_config(settings.slots)
+        core = _build_core(settings, Outside(store, engines, services))
+        find_server.core = core
+        source = PlatformSource.from_config(store, core, rng)
+        if settings.peer_listen is None:
+            tasks = [source.run]
+        else:
+            membership = await build_membership(settings, core, source, rng)
+            core.find_unsynced = partial(_find_unsynced, membership)
+            tasks = [membership.run, partial(follow_members, core, membership)]
+        return cls(settings, core, _build_gateway(settings, core), tasks)
+
+    @classmethod
+    async def _embedded(cls, settings: Settings, rng: random.Random) -> "Node":
+        note = read_note_file(settings.note)
+        if isinstance(note, list):
+            raise ConfigurationError(note[0])
+        platform = EmbeddedPlatform(rng.getrandbits(31))
+        publisher = Publisher(platform.store, rng, author=settings.name)
+        state = await _publish(publisher, note)
+        platform.start_servers(state.catalog)
+        core = _build_core(settings, Outside(platform.store, platform.client, platform.client))
+        placements = plan_placements(state.catalog, settings.seed, core.log)
+        platform.engines.place(placements.values())
+        state = await _publish(publisher, build_holding_note(state.catalog, placements.values()))
+        core.replica.adopt(state)
+        core.apply()
+        return cls(settings, core, _build_gateway(settings, core), [platform.run])
+
+    async def run(self) -> None:
+        """Serve callers until a signal comes, then drain and return."""
+        shutdown = trio.Event()
+        async with trio.open_nursery() as nursery:
+            for task in self.tasks:
+                nursery.start_soon(task)
+            bound = await nursery.start(
+                serve_application, self.gateway, [self.settings.listen], shutdown
+            )
+            self._log.info("serving", addresses=bound, revision=self.core.catalog.revision)
+            await wait_for_signal()
+            done = await drain_gateway(
+                self.gateway, self.settings.drain_delay, self.settings.drain_timeout
+            )
+            await self.core.orders.flush()
+            self._log.info("stopped", drained=done, open=self.gateway.open)
+            shutdown.set()
+            nursery.cancel_scope.cancel()
+
+
+async def _publish(publisher: Publisher, note: ReleaseNote) -> State:
+    publication = await publisher.publish(note)
+    if not publication:
+        raise ConfigurationError(publication)
+    return await publisher.refresh()
+
+
+def _find_unsynced(membership: Membership) -> Failure | None:
+    ready = membership.ready()
+    return ready if isinstance(ready, Failure) else None
+
+
+class _ServerLookup:
+    """Finds servers in the catalog of a core that is built later."""
+
+    __slots__ = ("core",)
+
+    def __call__(self, name: str) -> Server | None:
+        return self.core.catalog.servers.get(name)
+
+
+def _build_core(settings: Settings, outside: Outside) -> NodeCore:
+    name = settings.name or "{}:{}".format(*settings.listen)
+    config = CoreConfig(name, settings.zone, settings.region, settings.slots, settings.seed)
+    registry = prometheus_client.CollectorRegistry()
+    prometheus_client.ProcessCollector(registry=registry)
+    return NodeCore.from_config(config, outside, registry)
+
+
+def _build_gateway(settings: Settings, core: NodeCore) -> Gateway:
+    metrics = GatewayMetrics(core.registry)
+    chat = ChatHandler(core.admission, core.relay, metrics, lambda: core.catalog)
+    plain = PlainHandler(core.dispatcher, core.orders, lambda: core.catalog)
+    config = GatewayConfig(settings.body_limit, settings.body_timeout, settings.deadline)
+    view = NodeView(lambda: core.catalog, core.find_unready, core.describe)
+    boot = f"{core.config.name}-{settings.seed:x}".replace(":", ".")
+    return Gateway(config, view, chat, plain, metrics, RequestIds(boot))
