--- a/Makefile
+++ b/Makefile
@@ -32,3 +32,5 @@
 
 bench-control: setup
 	PYTHONHASHSEED=0 $(BIN)/python -m bench.control $(BENCH_FLAGS)
+bench-throughput: setup
+	PYTHONHASHSEED=0 $(BIN)/python -m bench.throughput
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -7,9 +7,21 @@
 from basilwinch.pipeline import Placement, Stage
 from basilwinch.standin import EngineSettings, Network
 
-__all__ = ["KINDS", "MODEL", "SETTINGS", "Work", "equal_split", "make_catalog", "make_network"]
-
+__all__ = [
+    "KINDS",
+    "MODEL",
+    "SETTINGS",
+    "WIDE_ZONES",
+    "ZONES",
+    "Work",
+    "equal_split",
+    "make_catalog",
+    "make_network",
+]
+
+#: Zones of deployment 1, and of a fleet of the design size: 11 zones in 4 regions.
 ZONES = ("cluj-centru", "cluj-somes", "cluj-manastur")
+WIDE_ZONES = {f"zone{number}": f"region{number % 4}" for number in range(11)}
 
 #: Accelerators: tokens a second through one layer at full batch, and layers that fit in memory.
 #: The mix delivers 555 tokens/s for each server, as 6.7 M tokens/s on 12,000 servers do.
@@ -26,8 +38,13 @@
 SETTINGS = EngineSettings(max_batch=8, prefill_share=0.05, prefix_share=0.5)
 
 
-def make_catalog(seed: int, count: int = 33) -> Catalog:
-    """Return a catalog of mixed servers in three zones."""
+def make_catalog(seed: int, count: int = 33, zones: dict[str, str] | None = None) -> Catalog:
+    """Return a catalog of mixed servers.
+
+    :param zones: regions by zone; the three zones of deployment 1 by default
+    """
+    zones = zones or dict.fromkeys(ZONES, "ro-nord")
+    zone_names = list(zones)
     rng = random.Random(f"{seed}/fleet")
     names = list(KINDS)
     servers = {}
@@ -35,11 +52,12 @@
         kind = names[number % len(names)]
         speed, layers = KINDS[kind]
         name = f"s{number:05d}"
+        zone = rng.choice(zone_names)
         servers[name] = Server(
             name,
             f"10.0.{number // 250}.{number % 250}:8000",
-            rng.choice(ZONES),
-            "ro-nord",
+            zone,
+            zones[zone],
             kind,
             2,
             int(layers * MODEL.weight_bytes_per_layer * 1.1),
@@ -80,9 +98,10 @@
     :param seed: seed of the draws
     """
 
-    __slots__ = ("_rng", "_prefixes", "_weights", "_count")
+    __slots__ = ("_name", "_rng", "_prefixes", "_weights", "_count")
 
-    def __init__(self, seed: int, prefixes: int = 200):
+    def __init__(self, seed: int | str, prefixes: int = 200):
+        self._name = seed
         self._rng = random.Random(f"{seed}/work")
         self._prefixes = [f"p{number}" for number in range(prefixes)]
         # Few prefixes make up most of the traffic (Zipf's law).
@@ -93,13 +112,26 @@
         """Return request id, prompt, tokens to generate and cache key (half have none)."""
         rng = self._rng
         self._count += 1
-        name = f"r{self._count}"
+        name = f"r{self._name}-{self._count}"
         letters = 4 * min(800, max(20, int(rng.lognormvariate(5.0, 0.6))))
         prompt = name.ljust(letters, ".")
         tokens = min(300, max(10, int(rng.expovariate(1 / 100))))
         key = rng.choices(self._prefixes, self._weights)[0] if rng.random() < 0.5 else ""
         return name, prompt, tokens, key
 
+    def mean_work(self) -> float:
+        """Return the average work of a request, from draws of its own."""
+        rng_state, count = self._rng.getstate(), self._count
+        total = 0.0
+        for _ in range(2_000):
+            _, prompt, tokens, key = self.draw()
+            shared = SETTINGS.prefix_share if key else 0.0
+            prompt_tokens = len(prompt) // 4
+            total += tokens - 1 + SETTINGS.prefill_share * prompt_tokens * (1 - shared)
+        self._rng.setstate(rng_state)
+        self._count = count
+        return total / 2_000
+
     def gap(self, rate: float) -> float:
         """Return the seconds until the next of ``rate`` arrivals a second (Poisson)."""
         return self._rng.expovariate(rate)
