Exchange usage over a grid of nodes in a large fleet

Each organisation now has a home node; rows cross two hops, so a node has 44 peers. An organisation with a limit of 2 requests/s that sends 20 requests/s gets up to burst times nodes beyond it before all nodes know.

--- a/basilwinch/admission/__init__.py
+++ b/basilwinch/admission/__init__.py
@@ -2,5 +2,6 @@
 
 from basilwinch.admission.admission import Admission, Ticket
 from basilwinch.admission.config import AdmissionConfig, AdmitRequest, Usage
+from basilwinch.admission.exchange import UsageExchange
 
-__all__ = ["Admission", "AdmissionConfig", "AdmitRequest", "Ticket", "Usage"]
+__all__ = ["Admission", "AdmissionConfig", "AdmitRequest", "Ticket", "Usage", "UsageExchange"]
--- a/basilwinch/admission/admission.py
+++ b/basilwinch/admission/admission.py
@@ -6,6 +6,7 @@
 import trio
 
 from basilwinch.admission.config import AdmissionConfig, AdmitRequest, Usage
+from basilwinch.admission.grid import count_peers
 from basilwinch.admission.limits import Limits
 from basilwinch.admission.queue import FairQueue, Waiting
 from basilwinch.exception import DEADLINE_UNREACHABLE, Failure
@@ -62,9 +63,9 @@
     def report_interval(self, nodes: int) -> float:
         """Return the seconds between two usage reports.
 
-        It grows with the fleet so that the reports of all peers stay within a fixed rate.
+        It grows with the number of peers so that the packets stay within a fixed rate.
         """
-        return max(self._config.report_s, self._config.report_s * nodes / 50)
+        return max(self._config.report_s, self._config.report_s_per_peer * count_peers(nodes))
 
     def set_capacity(self, model: str, slots: int) -> list[Waiting]:
         """Set how many requests of a model may be in progress on this node.
@@ -145,7 +146,7 @@
         return queue.release(entry, tokens, now)
 
     def usage(self, now: float) -> list[Usage]:
-        """Return the rates of this node for its report to the other nodes."""
+        """Return the rates of this node since the last call, for its report to the others."""
         return self._limits.usage(now)
 
     def absorb_usage(self, node: str, usages, now: float, nodes: int = 1) -> None:
--- a/basilwinch/admission/bucket.py
+++ b/basilwinch/admission/bucket.py
@@ -5,7 +5,7 @@
 __all__ = ["SharedBucket"]
 
 # Above this part of the fleet-wide level a node grants freely; below, only from its own share.
-FREE_ABOVE = 0.5
+FREE_ABOVE = 0.35
 # A node repays, or uses up, the distance of the level from its target by this part of its share.
 REPAY = 0.5
 
@@ -40,8 +40,9 @@
         "level",
         "local",
         "at",
-        "granted",
         "wanted",
+        "granted_since",
+        "wanted_since",
         "others_granted",
         "others_wanted",
         "others_until",
@@ -64,8 +65,9 @@
         self.level = burst * coverage
         self.local = min(1.0, burst)
         self.at = now
-        self.granted = 0.0
         self.wanted = 0.0
+        self.granted_since = 0.0
+        self.wanted_since = 0.0
         self.others_granted = 0.0
         self.others_wanted = 0.0
         self.others_until = -math.inf
@@ -97,13 +99,12 @@
         self.local = min(cap, self.local + elapsed * fill)
         self.level += elapsed * (limit - self.others_granted)
         self.level = max(-self.most_debt, min(burst, self.level))
-        decay = math.exp(-elapsed / self.window)
-        self.granted *= decay
-        self.wanted *= decay
+        self.wanted *= math.exp(-elapsed / self.window)
 
     def want(self, amount: float) -> None:
         """Count demand, whether it is granted or not."""
         self.wanted += amount / self.window
+        self.wanted_since += amount
 
     def wait(self, amount: float, coverage: float) -> float:
         """Return 0 if an amount may be granted now, else the seconds until it may be.
@@ -125,10 +126,25 @@
         self.local = min(self.local - amount, max(1.0, self.burst))
         self.local = max(self.local, -self.most_debt)
         self.level = max(-self.most_debt, min(self.burst, self.level - amount))
-        self.granted = max(0.0, self.granted + amount / self.window)
-
-    def set_others(self, granted: float, wanted: float, until: float) -> None:
-        """Take in the rates of the other nodes, valid until a time."""
+        self.granted_since += amount
+
+    def count(self, seconds: float) -> tuple[float, float]:
+        """Return the granted and wanted units a second since the last call."""
+        rates = max(0.0, self.granted_since) / seconds, self.wanted_since / seconds
+        # What was given back beyond the grants of this interval is taken off the next one.
+        self.granted_since = min(0.0, self.granted_since)
+        self.wanted_since = 0.0
+        return rates
+
+    def set_others(self, granted: float, wanted: float, until: float, smooth: float) -> None:
+        """Take in the rates of the other nodes.
+
+        :param until: time until which they are valid
+        :param smooth: weight of the new wanted rate; the shares follow it, and a rate counted over
+            a short interval jumps
+        """
         self.others_granted = granted
-        self.others_wanted = wanted
+        if not self.others_wanted:
+            smooth = 1.0
+        self.others_wanted += smooth * (wanted - self.others_wanted)
         self.others_until = until
--- a/basilwinch/admission/config.py
+++ b/basilwinch/admission/config.py
@@ -11,7 +11,8 @@
     :param burst_s: seconds of an organisation's limit that may be used at once
     :param least_burst: least number of requests that may be used at once
     :param demand_window_s: time constant of the demand that shares between nodes follow
-    :param report_s: interval of usage reports in a small fleet
+    :param report_s: least interval of usage reports
+    :param report_s_per_peer: interval of usage reports for each peer that a node reports to
     :param most_debt_s: seconds of the limit that are paid back at most after nodes granted too much
         before they saw each other's reports
     :param queue_per_organisation: requests of one organisation that may wait for one model
@@ -25,6 +26,7 @@
         "least_burst",
         "demand_window_s",
         "report_s",
+        "report_s_per_peer",
         "most_debt_s",
         "queue_per_organisation",
         "queue_total",
@@ -36,6 +38,7 @@
         "least_burst": 4.0,
         "demand_window_s": 10.0,
         "report_s": 2.0,
+        "report_s_per_peer": 0.6,
         "most_debt_s": 60.0,
         "queue_per_organisation": 64,
         "queue_total": 1024,
--- a/basilwinch/admission/limits.py
+++ b/basilwinch/admission/limits.py
@@ -1,5 +1,7 @@
 """Limits of all organisations on one node."""
 
+import math
+
 from basilwinch.admission.bucket import SharedBucket
 from basilwinch.admission.config import AdmissionConfig, AdmitRequest, Usage
 from basilwinch.catalog import Organisation
@@ -14,11 +16,10 @@
 class _State:
     """Limits of one organisation and the rates of the other nodes; created on first use."""
 
-    __slots__ = ("requests", "tokens", "others", "used_at")
+    __slots__ = ("buckets", "others", "used_at")
 
     def __init__(self, requests, tokens, now):
-        self.requests = requests
-        self.tokens = tokens
+        self.buckets = (requests, tokens)
         self.others: dict[str, tuple] | None = None
         self.used_at = now
 
@@ -29,7 +30,16 @@
     :param config: :class:`AdmissionConfig`
     """
 
-    __slots__ = ("_config", "_organisations", "_nodes", "_states", "_heard", "_report_s")
+    __slots__ = (
+        "_config",
+        "_organisations",
+        "_nodes",
+        "_states",
+        "_heard",
+        "_reported",
+        "_report_s",
+        "_counted_at",
+    )
 
     def __init__(self, config: AdmissionConfig):
         self._config = config
@@ -37,7 +47,9 @@
         self._nodes = 1
         self._states: dict[str, _State] = {}
         self._heard: dict[str, tuple[float, int]] = {}
+        self._reported: dict[str, frozenset] = {}
         self._report_s = config.report_s
+        self._counted_at = 0.0
 
     def update(self, organisations: dict, nodes: int, report_s: float) -> None:
         """Set the rules, the number of nodes and the interval of reports.
@@ -79,9 +91,9 @@
         state = self._state(rules, coverage, now)
         state.used_at = now
         waits = []
-        for bucket, amount, what in (
-            (state.requests, 1.0, "requests"),
-            (state.tokens, float(request.tokens), "tokens"),
+        amounts = (1.0, float(request.tokens))
+        for bucket, amount, what in zip(
+            state.buckets, amounts, ("requests", "tokens"), strict=True
         ):
             if bucket is not None:
                 bucket.refresh(coverage, now)
@@ -94,10 +106,9 @@
                 retry_after=round(longest, 3),
                 limit=what,
             )
-        if state.requests is not None:
-            state.requests.take(1.0)
-        if state.tokens is not None:
-            state.tokens.take(float(request.tokens))
+        for bucket, amount in zip(state.buckets, amounts, strict=True):
+            if bucket is not None:
+                bucket.take(amount)
         return None
 
     def settle(self, organisation: str, tokens: float, requests: float = 0.0) -> None:
@@ -105,60 +116,68 @@
         state = self._states.get(organisation)
         if state is None:
             return
-        if state.tokens is not None and tokens:
-            state.tokens.take(tokens)
-        if state.requests is not None and requests:
-            state.requests.take(requests)
-
-    def usage(self, now: float, least: float = 0.01) -> list[Usage]:
-        """Return the rates on this node of organisations with limits; forget idle ones.
-
-        :param least: rate below which an organisation is left out
-        """
+        for bucket, amount in zip(state.buckets, (requests, tokens), strict=True):
+            if bucket is not None and amount:
+                bucket.take(amount)
+
+    def usage(self, now: float) -> list[Usage]:
+        """Return the rates since the last call of organisations with limits; forget idle ones."""
+        seconds = max(now - self._counted_at, 1e-3)
+        self._counted_at = now
         found = []
         for name, state in list(self._states.items()):
             if now - state.used_at > self._config.forget_s:
                 del self._states[name]
                 continue
-            rates = []
-            for bucket in (state.requests, state.tokens):
-                if bucket is None:
-                    rates.append((0.0, 0.0))
-                    continue
-                bucket.refresh(self.coverage(now), now)
-                rates.append((bucket.granted, bucket.wanted))
+            rates = [bucket.count(seconds) if bucket else (0.0, 0.0) for bucket in state.buckets]
             (requests, wanted_requests), (tokens, wanted_tokens) = rates
-            if max(wanted_requests, wanted_tokens) >= least:
+            if wanted_requests or wanted_tokens or tokens:
                 found.append(Usage(name, requests, tokens, wanted_requests, wanted_tokens))
         return found
 
     def absorb(self, node: str, usages, now: float, nodes: int = 1) -> None:
-        """Take in the rates of another node, or of ``nodes`` others under one name."""
+        """Take in the rates of another node, or of ``nodes`` others under one name.
+
+        An organisation that is missing in the report is not used there any more.
+        """
         self._heard[node] = now, nodes
         coverage = self.coverage(now)
-        until = now + self._report_s * REPORTS_VALID
-        for usage in usages:
-            rules = self._organisations.get(usage.organisation)
-            if rules is None or not (rules.requests_per_s or rules.tokens_per_s):
-                continue
-            state = self._state(rules, coverage, now)
-            if state.others is None:
-                state.others = {}
-            state.others[node] = (usage, until)
-            for name, (_, valid) in list(state.others.items()):
-                if valid < now:
-                    del state.others[name]
-            reports = [report for report, _ in state.others.values()]
-            if state.requests is not None:
-                state.requests.refresh(coverage, now)
-                granted = sum(report.requests for report in reports)
-                wanted = sum(report.wanted_requests for report in reports)
-                state.requests.set_others(granted, wanted, until)
-            if state.tokens is not None:
-                state.tokens.refresh(coverage, now)
-                granted = sum(report.tokens for report in reports)
-                wanted = sum(report.wanted_tokens for report in reports)
-                state.tokens.set_others(granted, wanted, until)
+        by_name = {usage.organisation: usage for usage in usages}
+        missing = self._reported.get(node, frozenset()) - by_name.keys()
+        self._reported[node] = frozenset(by_name)
+        for name in missing:
+            state = self._states.get(name)
+            if state is not None and state.others:
+                state.others.pop(node, None)
+                self._apply(state, coverage, now)
+        for name, usage in by_name.items():
+            rules = self._organisations.get(name)
+            if rules is not None and (rules.requests_per_s or rules.tokens_per_s):
+                state = self._state(rules, coverage, now)
+                if state.others is None:
+                    state.others = {}
+                state.others[node] = (usage, now)
+                self._apply(state, coverage, now)
+
+    def _apply(self, state: _State, coverage: float, now: float) -> None:
+        """Add up the rates of the other nodes."""
+        valid = self._report_s * REPORTS_VALID
+        for name, (_, at) in list(state.others.items()):
+            if now - at > valid:
+                del state.others[name]
+        reports = [report for report, _ in state.others.values()]
+        smooth = 1 - math.exp(-self._report_s / self._window() / max(len(reports), 1))
+        sums = (
+            (sum(r.requests for r in reports), sum(r.wanted_requests for r in reports)),
+            (sum(r.tokens for r in reports), sum(r.wanted_tokens for r in reports)),
+        )
+        for bucket, (granted, wanted) in zip(state.buckets, sums, strict=True):
+            if bucket is not None:
+                bucket.refresh(coverage, now)
+                bucket.set_others(granted, wanted, now + valid, smooth)
+
+    def _window(self) -> float:
+        return max(self._config.demand_window_s, self._report_s)
 
     def _state(self, rules: Organisation, coverage: float, now: float) -> _State:
         state = self._states.get(rules.name)
@@ -174,4 +193,4 @@
         config = self._config
         burst = max(rate * config.burst_s, config.least_burst)
         debt = rate * config.most_debt_s
-        return SharedBucket(rate, burst, coverage, config.demand_window_s, debt, now)
+        return SharedBucket(rate, burst, coverage, self._window(), debt, now)
--- a/basilwinch/exception.py
+++ b/basilwinch/exception.py
@@ -240,5 +240,8 @@
 )
 NOT_IN_EFFECT = FailureKind("not_in_effect", 504, "Not every node holds the revision yet.", True)
 
+# Usage reports.
+MALFORMED_USAGE = FailureKind("malformed_usage", 400, "A usage report cannot be read.")
+
 # Settings.
 INVALID_SETTING = FailureKind("invalid_setting", 400, "A setting is not valid.")
