--- a/basilwinch/relay/run.py
+++ b/basilwinch/relay/run.py
@@ -7,6 +7,7 @@
 
 from basilwinch.exception import (
     DEADLINE_EXCEEDED,
+    DEADLINE_UNREACHABLE,
     RETRIES_EXHAUSTED,
     SERVER_LEAVING,
     SERVER_UNREACHABLE,
@@ -85,6 +86,7 @@
         "_old_chain",
         "_prompt_tokens",
         "_digest",
+        "_key",
         "_done",
     )
 
@@ -102,6 +104,8 @@
         self._old_chain: Chain | None = None
         self._prompt_tokens = count_prompt_tokens(request.prompt)
         self._digest = digest_request(request.organisation, request.model, request.prompt)
+        # Callers may send one id twice; the registry must still tell the runs apart.
+        self._key = f"{request.request}#{id(self):x}"
         self._done = False
 
     def __aiter__(self):
@@ -120,13 +124,13 @@
     async def close(self) -> None:
         """End the current attempt; the engine's slot is free when this returns."""
         await self._end(None)
-        self._relay.suspects.release(self._digest, self._request.request)
+        self._relay.suspects.end(self._digest, self._key)
 
     async def _open(self) -> None:
         """Choose a chain and start the next attempt, without waiting for the engine."""
         relay, request = self._relay, self._request
         isolated = await relay.suspects.enter(
-            self._digest, request.request, self._number > 0, self._remaining
+            self._digest, self._key, self._number > 0, self._remaining
         )
         if isinstance(isolated, Failure):
             relay.log.record("attempt", "refused", isolated.reason, request=request.request)
@@ -140,7 +144,7 @@
         gap = GapEstimate(choice.expected_token_s, config.stall_min_s, config.stall_max_s)
         self._attempt = _Attempt(self._number, choice, checker, gap)
         relay.router.begin(choice, now)
-        relay.suspects.begin(self._digest, request.request, chain.servers, isolated, now)
+        relay.suspects.begin(self._digest, self._key, chain.servers, isolated, now)
         relay.log.record(
             "attempt",
             "resume" if self._number > 1 else "start",
@@ -164,7 +168,7 @@
                 cache_key=request.cache_key,
                 prompt_tokens=self._prompt_tokens + len(self._tokens),
                 max_tokens=request.max_tokens - len(self._tokens),
-                deadline_s=None if self._deadline == math.inf else self._deadline - now,
+                deadline_s=self._route_deadline(),
                 avoid=self._avoid | relay.suspects.quarantined(self._digest, now),
                 isolated=isolated,
             )
@@ -175,7 +179,7 @@
                 choice = relay.router.choose(route.replace(avoid=self._lost, isolated=False), now)
             if choice:
                 return choice
-            if not choice.kind.retryable or now >= limit:
+            if choice.kind is DEADLINE_UNREACHABLE or not choice.kind.retryable or now >= limit:
                 relay.log.record("attempt", "no_chain", choice.reason, request=request.request)
                 relay.raise_failure(choice)
             self._lost = frozenset()
@@ -185,6 +189,12 @@
             )
             await trio.sleep(min(delay, max(0.0, limit - now)))
 
+    def _route_deadline(self) -> float | None:
+        """Return the deadline for the router; a response that has begun is not given up early."""
+        if self._number or self._deadline == math.inf:
+            return None
+        return self._remaining()
+
     async def _connect(self, attempt: _Attempt) -> None:
         request = self._request
         call = EngineCall(
@@ -277,8 +287,7 @@
         attempt.last = now
         self._relay.router.observe(attempt.choice, frame, gap, now)
         self._tokens.append(frame.token)
-        if attempt.frames == self._relay.suspects.progress_tokens:
-            self._relay.suspects.progress(self._digest, self._request.request)
+        self._relay.suspects.note_frame(self._digest, self._key, now)
         self._done = frame.final or len(self._tokens) >= self._request.max_tokens
         if self._done:
             self._relay.suspects.clear(self._digest, now)
@@ -294,7 +303,11 @@
         if attempt.frames:
             timeout = attempt.gap.timeout_s()
         else:
-            timeout = 2 * attempt.choice.expected_first_token_s + relay.config.stall_max_s
+            prefill_s = (
+                self._prompt_tokens + len(self._tokens)
+            ) / relay.config.prefill_tokens_per_s
+            expected_s = max(attempt.choice.expected_first_token_s, prefill_s)
+            timeout = 2 * expected_s + relay.config.stall_max_s
         if relay.budget.is_empty(now):
             timeout *= 3
         return attempt.last + timeout - now
@@ -376,8 +389,10 @@
         if attempt is None:
             return
         relay, now = self._relay, trio.current_time()
-        relay.suspects.end(self._digest, self._request.request)
-        relay.router.finish(attempt.choice, failure, now)
+        relay.suspects.end(self._digest, self._key)
+        # A missed deadline says nothing about the servers.
+        blamed = None if failure is not None and failure.kind is DEADLINE_EXCEEDED else failure
+        relay.router.finish(attempt.choice, blamed, now)
         with trio.CancelScope(shield=True), trio.move_on_after(_CLOSE_LIMIT_S):
             await attempt.stack.aclose()
 
--- a/basilwinch/relay/suspect.py
+++ b/basilwinch/relay/suspect.py
@@ -21,6 +21,14 @@
 __all__ = ["SuspectConfig", "SuspectEntry", "SuspectRegistry", "digest_request"]
 
 _POLL_S = 0.02
+# Frames of an attempt after which the request is no likely cause of a crash. Crashes come at the
+# prefill or right after it, when the request enters the batch.
+_PROGRESS_FRAMES = 8
+# A server that is reported dead sooner than this after the start of an attempt, and that showed no
+# sign of life within a second, was dead before. Otherwise each request that meets the dead servers
+# of a lost zone, one after another, would look like their cause.
+_PROMPT_S = 0.03
+_ALIVE_S = 1.0
 
 
 class SuspectConfig(Record):
@@ -78,14 +86,15 @@
 class _Running:
     """An attempt in progress on this node."""
 
-    __slots__ = ("digest", "servers", "isolated", "started", "progressed")
+    __slots__ = ("digest", "servers", "isolated", "started", "frames", "frame_at")
 
     def __init__(self, digest, servers, isolated, started):
         self.digest = digest
         self.servers = servers
         self.isolated = isolated
         self.started = started
-        self.progressed = False
+        self.frames = 0
+        self.frame_at = -math.inf
 
 
 class SuspectRegistry:
@@ -99,10 +108,6 @@
     constant or linear in the suspects.
     """
 
-    #: Frames of an attempt after which the request is no likely cause of a crash. Crashes come at
-    #: the prefill or right after it, when the request enters the batch.
-    progress_tokens = 8
-
     __slots__ = (
         "_config",
         "_log",
@@ -166,6 +171,8 @@
 
         Waits for an isolated run of the same request elsewhere, and for a free slot.
 
+        :param digest: identity of the request
+        :param request: name of this run of it, unique on the node
         :param retry: whether this request has run before on this node
         :param remaining: function that returns the seconds left for the request
         """
@@ -205,23 +212,20 @@
         else:
             self._testing.pop(request, None)
 
-    def progress(self, digest: str, request: str) -> None:
-        """Note that an attempt delivers tokens; an isolated run then ends its isolation."""
-        running = self._running.get(request)
-        if running is not None:
-            running.progressed = True
+    def note_frame(self, digest: str, request: str, now: float) -> None:
+        """Note a frame of an attempt; after some, an isolated run ends its isolation."""
+        running = self._running[request]
+        running.frames += 1
+        running.frame_at = now
+        if running.frames == _PROGRESS_FRAMES:
             running.isolated = False
-        self._end_test(digest, request)
+            self._end_test(digest, request)
 
     def end(self, digest: str, request: str) -> None:
         """Count the end of an attempt."""
         self._running.pop(request, None)
         self._end_test(digest, request)
 
-    def release(self, digest: str, request: str) -> None:
-        """Forget a request that has ended for any reason."""
-        self.end(digest, request)
-
     def clear(self, digest: str, now: float) -> None:
         """Clear a request that finished, unless it is convicted."""
         evidence = self._records.get(digest)
@@ -253,10 +257,12 @@
             for request, running in self._running.items()
             if server in running.servers
         }
+        alive = any(now - running.frame_at < _ALIVE_S for running in on_server.values())
         new = [
             request
             for request, running in on_server.items()
             if running.started > self._reported.get(server, -math.inf)
+            and (alive or now - running.started >= _PROMPT_S)
         ]
         if not new:
             return
@@ -265,7 +271,7 @@
         likely = [
             request
             for request in sorted(new, key=lambda r: -on_server[r].started)
-            if not on_server[request].progressed
+            if on_server[request].frames < _PROGRESS_FRAMES
             and now - on_server[request].started <= self._config.strong_age_s
         ][: self._config.strong]
         alone = sum(running.isolated for running in on_server.values()) == 1
