--- a/basilwinch/cli/tests/test_program.py
+++ b/basilwinch/cli/tests/test_program.py
@@ -13,9 +13,9 @@
 
 from basilwinch.cli.context import Context
 from basilwinch.cli.nodes import wait_for_revision
-from basilwinch.cli.output import Output
+from basilwinch.cli.output import ExitCode, Output
 from basilwinch.cli.program import build_parser, execute, main
-from basilwinch.exception import Failure
+from basilwinch.exception import Failure, catalogue
 from basilwinch.release import read_note
 from basilwinch.standin import MemoryKeyValueStore
 from basilwinch.standin.etcd import EtcdGateway
@@ -112,6 +112,15 @@
     assert caught.value.code == 2 and "--timeout" in capsys.readouterr().err
 
 
+def test_the_operator_page_lists_every_code():
+    """Guards against codes that operators cannot look up."""
+    page = (pathlib.Path(__file__).parents[3] / "docs/operators/release-notes.md").read_text()
+    codes = [kind.code for kind in catalogue() if kind.code.startswith(("note_", "release_"))]
+    assert len(codes) > 20
+    assert [code for code in codes if f"| `{code}` |" not in page] == []
+    assert [code for code in ExitCode if f"| {int(code)} |" not in page] == []
+
+
 async def _serve(app, task_status):
     config = hypercorn.Config()
     config.bind = ["127.0.0.1:0"]
