Merge histories that were merged before without taking changes back

Cause: a node further ahead than the one that merged first saw the merge as new and would bring back older values of its own history; notes of the other side before the merge were left out. Change: the fork is read along the parents back to a revision held; merges that only contain held revisions are left out; malformed stored notes are a typed failure in the publisher. Conclusion: repeated merges keep the latest values of both sides.

--- a/basilwinch/release/__init__.py
+++ b/basilwinch/release/__init__.py
@@ -3,10 +3,10 @@
 from basilwinch.release.change import Change, combine
 from basilwinch.release.follower import Follower, FollowerConfig
 from basilwinch.release.layout import Body
-from basilwinch.release.loader import load_state, read_head, read_history
+from basilwinch.release.loader import load_state, read_head, read_history, read_recent
 from basilwinch.release.note import ReleaseNote, Verb, read_note, read_note_file
 from basilwinch.release.plan import plan_note
-from basilwinch.release.publisher import Publication, Publisher, read_recent
+from basilwinch.release.publisher import Publication, Publisher
 from basilwinch.release.replica import Replica
 from basilwinch.release.state import Revision, State
 from basilwinch.release.steps import finish, finish_in_turns
--- a/basilwinch/release/loader.py
+++ b/basilwinch/release/loader.py
@@ -8,7 +8,15 @@
 from basilwinch.release.state import Revision, State
 from basilwinch.release.steps import finish_in_turns
 
-__all__ = ["load_state", "read_head", "read_history", "read_table"]
+__all__ = [
+    "apply_stored",
+    "load_head",
+    "load_state",
+    "read_head",
+    "read_history",
+    "read_recent",
+    "read_table",
+]
 
 # 32 pages are about 1.4 MB at the design size, and one call reads them all today.
 _PAGES_PER_CALL = 32
@@ -143,6 +151,33 @@
     return chain
 
 
+async def read_recent(store: KeyValueStore, head: Revision, count: int) -> list[Body]:
+    """Return up to ``count`` of the latest notes, oldest first, as far as they are kept.
+
+    :raises PlatformError: if they cannot be read
+    """
+    after = max(head.number - count, 0)
+    while True:
+        try:
+            return await read_history(store, head, after)
+        except PlatformError as error:
+            if error.failure.kind is not RELEASE_GAP or error.failure.detail["revision"] <= after:
+                raise
+            after = error.failure.detail["revision"]
+
+
+def apply_stored(state: State, body: Body) -> State:
+    """Return the state after an accepted note.
+
+    :raises PlatformError: ``RELEASE_MALFORMED`` if the note makes no valid entry
+    """
+    try:
+        return state.applied(body.revision, body.changes, body.parents)
+    except (ValueError, TypeError, KeyError, AttributeError) as error:
+        reason = f"revision {body.revision.number}: {type(error).__name__}: {error}"
+        raise PlatformError(RELEASE_MALFORMED.because(reason)) from error
+
+
 async def _with_parts(store: KeyValueStore, body: Body) -> Body:
     if not body.parts:
         return body
--- a/basilwinch/release/publisher.py
+++ b/basilwinch/release/publisher.py
@@ -18,7 +18,14 @@
 from basilwinch.record import Record
 from basilwinch.release.change import touched
 from basilwinch.release.layout import Body, Head, Table
-from basilwinch.release.loader import load_head, read_head, read_history, read_table
+from basilwinch.release.loader import (
+    apply_stored,
+    load_head,
+    read_head,
+    read_history,
+    read_recent,
+    read_table,
+)
 from basilwinch.release.maintenance import maintain
 from basilwinch.release.note import ReleaseNote
 from basilwinch.release.plan import plan_note
@@ -176,27 +183,12 @@
             table = await read_table(self._store, head)
             if table and history and history[0].parent == self._state.revision:
                 for body in history:
-                    self._state = self._state.applied(body.revision, body.changes, body.parents)
+                    self._state = apply_stored(self._state, body)
                 self._head, self._table = head, table
                 return
         self._head, self._table, self._state = await load_head(self._store)
 
 
-async def read_recent(store: KeyValueStore, head: Revision, count: int) -> list[Body]:
-    """Return up to ``count`` of the latest notes, oldest first, as far as they are kept.
-
-    :raises PlatformError: if they cannot be read
-    """
-    after = max(head.number - count, 0)
-    while True:
-        try:
-            return await read_history(store, head, after)
-        except PlatformError as error:
-            if error.failure.kind is not RELEASE_GAP or error.failure.detail["revision"] <= after:
-                raise
-            after = error.failure.detail["revision"]
-
-
 def _as_outcome(failure: Failure, note_id: str) -> Failure:
     """Return a failure that came before the head was written as one without effect."""
     if failure.kind is NOTE_UNSETTLED:
--- a/basilwinch/release/reinstate.py
+++ b/basilwinch/release/reinstate.py
@@ -3,11 +3,11 @@
 from basilwinch.platform import KeyValueStore
 from basilwinch.release.change import Change, combine
 from basilwinch.release.layout import Body, Head, Table
-from basilwinch.release.loader import load_head, read_history
+from basilwinch.release.loader import load_head, read_recent
 from basilwinch.release.mapping import BUCKETS
 from basilwinch.release.replica import Replica
 from basilwinch.release.schema import KINDS
-from basilwinch.release.state import Revision, State, encode_page, fields_of
+from basilwinch.release.state import TRAIL_LENGTH, Revision, State, encode_page, fields_of
 from basilwinch.release.steps import finish_in_turns
 from basilwinch.release.writer import Draft, write_draft
 
@@ -47,7 +47,7 @@
     if held.contains(head.revision):
         state, bodies = held, _missing_notes(replica, head, stored, now)
     else:
-        fork = await _read_fork(store, head, stored, held)
+        fork = await _read_fork(store, head, held)
         changes, dropped = merge_fork(held, combine(fork))
         number = max(head.revision.number, held.revision.number) + 1
         revision = Revision(number, f"merge.{rng.getrandbits(64):016x}")
@@ -96,12 +96,22 @@
     )
 
 
-async def _read_fork(store, head: Head, stored: State, held: State) -> list[Change]:
-    common = {revision.number for revision in held.trail} & {
-        revision.number for revision in stored.trail if held.contains(revision)
-    }
-    history = await read_history(store, head.revision, max(common, default=0))
-    return [change for body in history for change in body.changes]
+async def _read_fork(store, head: Head, held: State) -> list[Change]:
+    """Return the changes on the way to the head since the last revision that a state contains.
+
+    A merge of a part of the held history is left out: its changes would take back what that
+    history changed later.
+    """
+    known = set(held.trail)
+    fork: list[Change] = []
+    for body in reversed(await read_recent(store, head.revision, TRAIL_LENGTH)):
+        if body.revision in known:
+            break
+        if not body.parents or not known.issuperset(body.parents):
+            fork[:0] = body.changes
+        if body.parent in known:
+            break
+    return fork
 
 
 def merge_fork(held: State, fork: list[Change]) -> tuple[list[Change], list[str]]:
--- a/basilwinch/release/tests/test_failures.py
+++ b/basilwinch/release/tests/test_failures.py
@@ -132,6 +132,31 @@
     run(main)
 
 
+def test_a_merge_by_a_node_that_is_behind_takes_nothing_back():
+    """Guards against a second merge that brings back older values of the held history."""
+
+    async def main():
+        bench = Bench(2)
+        await bench.publish(service("a"))
+        saved = bench.store.snapshot()
+        await bench.publish(service("k"))
+        await bench.follower(0).catch_up()
+        await bench.publish(service("k", "changed", kind="model"))
+        await bench.follower(1).catch_up()
+        bench.store.restore(saved)
+        bench.publisher = bench.new_publisher()
+        await bench.publish(service("b"))
+        await bench.publish(service("c"))
+        for node in (0, 1, 0):
+            await bench.follower(node).catch_up()
+        catalog = bench.replicas[0].catalog
+        assert set(catalog.services) == {"a", "b", "c", "k"}
+        assert catalog.services["k"].kind == "model"
+        assert bench.replicas[0].state == bench.replicas[1].state
+
+    run(main)
+
+
 def test_a_publisher_that_dies_before_the_head_has_no_effect():
     """Guards against half-applied notes and against values that nobody deletes."""
 
