Leave out merged changes that share an address or a key

Cause: merging two histories checked references only; two servers with one address, or two organisations with one key, could come into effect. Change: such changes of the restored platform are left out and logged. Conclusion: a merged state meets the same conditions as a published one.

--- a/basilwinch/release/follower.py
+++ b/basilwinch/release/follower.py
@@ -60,6 +60,11 @@
         self._lock = trio.Lock()
         self._log = structlog.get_logger("release")
 
+    @classmethod
+    def from_config(cls, config: FollowerConfig, store, replica, rng, **options) -> "Follower":
+        """Build a follower from its settings; see the class for the parameters."""
+        return cls(config, store, replica, rng, **options)
+
     async def run(self) -> None:
         """Follow the head until cancelled."""
         failures = 0
--- a/basilwinch/release/reinstate.py
+++ b/basilwinch/release/reinstate.py
@@ -123,14 +123,15 @@
 def merge_fork(held: State, fork: list[Change]) -> tuple[list[Change], list[str]]:
     """Return the changes of a fork that a state can take, and the keys of the others.
 
-    A change is left out if an entry would refer to one that does not exist.
+    A change is left out if an entry would refer to one that does not exist, or share an address or
+    a key with another.
     """
     kept, dropped = {change.key: change for change in fork}, []
     while True:
         changes = [_rebase(held, change) for change in kept.values()]
         changes = [change for change in changes if change]
         merged = held.applied(Revision(held.revision.number, ""), changes)
-        wrong = kept.keys() & _find_dangling(merged)
+        wrong = kept.keys() & _find_inconsistent(merged)
         if not wrong:
             return changes, sorted(dropped)
         for key in wrong:
@@ -144,13 +145,20 @@
     return Change.between(change.kind, change.name, before, change.after)
 
 
-def _find_dangling(state: State) -> set[str]:
-    """Return the keys of entries with a missing target, and of the targets."""
+def _find_inconsistent(state: State) -> set[str]:
+    """Return the keys of entries with a missing target, of the targets, and of entries that share
+    a value that must differ.
+    """
     keys = set()
     for kind in KINDS.values():
+        owners: dict[str, str] = {}
         for name, entry in getattr(state.catalog, kind.section).items():
+            key = f"{kind.name}/{name}"
             for reference in kind.references:
                 for target in reference.names(entry):
                     if state.entry(reference.kind, target) is None:
-                        keys |= {f"{kind.name}/{name}", f"{reference.kind}/{target}"}
+                        keys |= {key, f"{reference.kind}/{target}"}
+            if kind.unique:
+                owner = owners.setdefault(getattr(entry, kind.unique), key)
+                keys |= {owner, key} if owner != key else set()
     return keys
--- a/basilwinch/release/tests/test_failures.py
+++ b/basilwinch/release/tests/test_failures.py
@@ -111,12 +111,12 @@
         for node in range(3):
             await bench.follower(node).catch_up()
         saved = bench.store.snapshot()
-        await bench.publish(service("b") + service("s", "withdrawn"))
+        await bench.publish(service("b") + service("s", "withdrawn") + server("w", "a", 2))
         await bench.follower(0).catch_up()
         bench.store.restore(saved)
         bench.publisher = bench.new_publisher()
         await bench.publish(service("c"))
-        await bench.publish(server("v", "s", 1))
+        await bench.publish(server("v", "s", 1) + server("x", "a", 2) + server("y", "a", 3))
         await bench.follower(1).catch_up()
         forked = bench.replicas[0].absorb(bench.replicas[1].export(-1))
         assert isinstance(forked, Failure) and forked.code == "release_forked"
@@ -124,8 +124,8 @@
             await bench.follower(node).catch_up()
         catalog = bench.replicas[0].catalog
         assert set(catalog.services) == {"a", "b", "c"}
-        # The server belongs to the service that was withdrawn, so it cannot be merged.
-        assert not catalog.servers
+        # Not merged: v belongs to a withdrawn service, x has the address of w.
+        assert set(catalog.servers) == {"w", "y"}
         assert all(replica.state == bench.replicas[0].state for replica in bench.replicas)
         assert bench.replicas[0].revision == 4
 
