Report endpoints that are no URL as a wrong setting

Cause: an endpoint without a scheme ended the tool with a stack trace. Change: EtcdStore.from_config checks the endpoints (INVALID_SETTING, exit code 2); SIGINT ends the tool with exit code 130. Conclusion: wrong settings are typed failures.

--- a/basilwinch/cli/program.py
+++ b/basilwinch/cli/program.py
@@ -48,7 +48,11 @@
     """
     configure_logs("console", "error")
     args = build_parser().parse_args(argv)
-    return trio.run(execute, args, Context(Output(sys.stdout, args.json)))
+    try:
+        return trio.run(execute, args, Context(Output(sys.stdout, args.json)))
+    except KeyboardInterrupt:
+        # The usual exit code of a program ended by SIGINT.
+        return 130
 
 
 if __name__ == "__main__":
--- a/basilwinch/cli/tests/test_program.py
+++ b/basilwinch/cli/tests/test_program.py
@@ -110,6 +110,9 @@
     with pytest.raises(SystemExit) as caught:
         build_parser().parse_args(["status"])
     assert caught.value.code == 2 and "--timeout" in capsys.readouterr().err
+    monkeypatch.delenv("BASILWINCH_TIMEOUT")
+    assert main(["status", "--platform", "10.0.0.9:2379"]) == 2
+    assert json.loads(capsys.readouterr().out)["error"]["code"] == "invalid_setting"
 
 
 def test_the_operator_page_lists_every_code():
--- a/basilwinch/platform/etcd.py
+++ b/basilwinch/platform/etcd.py
@@ -3,6 +3,7 @@
 import json
 import math
 import socket
+import urllib.parse
 from contextlib import AsyncExitStack, aclosing, asynccontextmanager
 
 import httpcore
@@ -10,10 +11,12 @@
 
 from basilwinch.exception import (
     HISTORY_COMPACTED,
+    INVALID_SETTING,
     LEASE_LOST,
     PLATFORM_AMBIGUOUS,
     PLATFORM_REFUSED,
     PLATFORM_UNAVAILABLE,
+    ConfigurationError,
     Failure,
     PlatformError,
 )
@@ -78,7 +81,15 @@
 
     @classmethod
     def from_config(cls, config: EtcdConfig) -> "EtcdStore":
-        """Build a client from its settings."""
+        """Build a client from its settings.
+
+        :raises ConfigurationError: with ``INVALID_SETTING`` if an endpoint is no base URL
+        """
+        for endpoint in config.endpoints or ("",):
+            parts = urllib.parse.urlsplit(endpoint)
+            if parts.scheme not in ("http", "https") or not parts.hostname:
+                reason = f"{endpoint!r} is not a URL such as http://10.0.0.1:2379"
+                raise ConfigurationError(INVALID_SETTING.because(reason))
         return cls(config)
 
     async def __aenter__(self):
