--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 	touch $@
 
 run: setup
-	$(BIN)/basilwinchd --embedded
+	$(BIN)/python -m basilwinch.daemon --embedded
 
 lint: setup
 	$(BIN)/python -m black --check -q $(TREES)
@@ -32,3 +32,5 @@
 
 bench-control: setup
 	PYTHONHASHSEED=0 $(BIN)/python -m bench.control $(BENCH_FLAGS)
+bench-throughput: setup
+	PYTHONHASHSEED=0 $(BIN)/python -m bench.throughput
--- a/basilwinch/release/reinstate.py
+++ b/basilwinch/release/reinstate.py
@@ -8,6 +8,7 @@
 from basilwinch.release.replica import Replica
 from basilwinch.release.schema import KINDS
 from basilwinch.release.state import Revision, State, encode_page, fields_of
+from basilwinch.release.steps import finish_in_turns
 from basilwinch.release.writer import Draft, write_draft
 
 __all__ = ["compare_states", "merge_fork", "reinstate"]
@@ -50,21 +51,23 @@
         changes, dropped = merge_fork(held, combine(fork))
         number = max(head.revision.number, held.revision.number) + 1
         revision = Revision(number, f"merge.{rng.getrandbits(64):016x}")
-        parents = (*held.trail, *stored.trail)
-        state = held.applied(revision, changes, sorted(set(parents), key=lambda r: r.number))
-        bodies = [_join(head.revision, state, compare_states(stored, state), now, held.revision)]
-    draft = _draft(head, table, stored, state, bodies)
+        parents = sorted({*held.trail} - {*stored.trail}, key=lambda item: item.number)
+        merged = held.applied(revision, changes)
+        changes = compare_states(stored, merged)
+        state = stored.applied(revision, changes, parents)
+        bodies = [_join(head.revision, state, changes, now, *parents)]
+    draft = await finish_in_turns(_draft_steps(head, table, stored, state, bodies))
     if await write_draft(store, draft, rng):
         replica.adopt(state)
     return dropped
 
 
-def _draft(head: Head, table: Table, stored: State, state: State, bodies: list[Body]) -> Draft:
-    indexes = [
-        index
-        for index in range(BUCKETS)
-        if encode_page(stored.page(index)) != encode_page(state.page(index))
-    ]
+def _draft_steps(head: Head, table: Table, stored: State, state: State, bodies: list[Body]):
+    indexes = []
+    for index in range(BUCKETS):
+        if encode_page(stored.page(index)) != encode_page(state.page(index)):
+            indexes.append(index)
+        yield
     draft = Draft(head, table, state, bodies[-1], indexes)
     for body in bodies[:-1]:
         draft.puts[:0] = body.encode()
