Add the executor of placement targets

Targets are written by compare-and-swap and read back after a lost response. The executor derives loads and unloads from what the servers report, so it goes on after a restart at any point; it takes a range out of service and lets its streams end before it unloads it, keeps a chain of every model, and stops at the first refused fencing token. Servers that ignore tokens get no order in the quiet time and are read back before each one.

--- a/basilwinch/admission/exchange.py
+++ b/basilwinch/admission/exchange.py
@@ -215,7 +215,9 @@
 
         A small organisation on hundreds of nodes would otherwise need a row for each request.
         """
-        rules = self._rules[self._names[key]]
+        rules = self._rules.get(self._names.get(key))
+        if rules is None:
+            return None
         limits = ((rates[2], rules.requests_per_s), (rates[3], rules.tokens_per_s))
         part = max(wanted * _SAMPLES / limit for wanted, limit in limits if limit)
         if part >= 1 or not part:
@@ -225,7 +227,9 @@
         return tuple(rate / part for rate in rates)
 
     def _is_contended(self, key, rates) -> bool:
-        rules = self._rules[self._names[key]]
+        rules = self._rules.get(self._names.get(key))
+        if rules is None:
+            return False
         limits = ((rates[2], rules.requests_per_s), (rates[3], rules.tokens_per_s))
         return any(limit and wanted >= _CONTENDED * limit for wanted, limit in limits)
 
--- a/basilwinch/exception.py
+++ b/basilwinch/exception.py
@@ -240,6 +240,11 @@
 )
 NOT_IN_EFFECT = FailureKind("not_in_effect", 504, "Not every node holds the revision yet.", True)
 
+# Placement.
+TARGETS_CHANGED = FailureKind(
+    "targets_changed", 409, "Another holder changed the placement targets.", True
+)
+
 # Usage reports.
 MALFORMED_USAGE = FailureKind("malformed_usage", 400, "A usage report cannot be read.")
 
--- a/basilwinch/placement/__init__.py
+++ b/basilwinch/placement/__init__.py
@@ -1,13 +1,18 @@
 """Placement of model layers on servers: the bound, the planner and the executor of orders."""
 
 from basilwinch.placement.bound import Bound, Workload, bound_of_fleet, bound_of_placements
+from basilwinch.placement.executor import Executor, ExecutorConfig
 from basilwinch.placement.planner import Plan, Planner, PlannerConfig, changed_servers
+from basilwinch.placement.targets import TargetStore
 
 __all__ = [
     "Bound",
+    "Executor",
+    "ExecutorConfig",
     "Plan",
     "Planner",
     "PlannerConfig",
+    "TargetStore",
     "Workload",
     "bound_of_fleet",
     "bound_of_placements",
--- /dev/null
+++ b/basilwinch/placement/executor.py
@@ -0,0 +1,213 @@
+"""Executor: carries out declared targets with orders to servers."""
+
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from basilwinch.exception import FENCED, LEASE_LOST, BasilwinchError, ServerError
+from basilwinch.observability import DecisionLog
+from basilwinch.placement.order import Step, next_steps, serving
+from basilwinch.record import Record
+from basilwinch.server import EngineClient, OrderKind, ServerOrder
+
+__all__ = ["Executor", "ExecutorConfig"]
+
+
+class ExecutorConfig(Record):
+    """Settings of the executor.
+
+    :param drain_s: time between the end of new requests on a range and its unloading; no stream
+        lasts longer
+    :param quiet_s: time after the start before servers that ignore fencing tokens get orders: the
+        rest of the former holder's lease plus the longest order
+    :param poll_s: interval of the control loop
+    :param retry_s: time until a server that failed is read again
+    :param parallel_orders: orders on their way at most; keeps loads within the rate of the weight
+        store
+    """
+
+    __slots__ = ("drain_s", "quiet_s", "poll_s", "retry_s", "parallel_orders")
+    _defaults = {
+        "drain_s": 60.0,
+        "quiet_s": 30.0,
+        "poll_s": 1.0,
+        "retry_s": 5.0,
+        "parallel_orders": 16,
+    }
+
+
+class Executor:
+    """Brings servers to their targets while the lease is held.
+
+    Nothing is kept between runs: what the servers hold is read back at the start, so a new holder
+    goes on where the former one stopped.
+
+    :param config: :class:`ExecutorConfig`
+    :param client: client of the servers
+    :param fence: returns the fencing token while the lease is safely held, else None
+    :param publish: called with the placements that requests may use, when they change
+    :param log: decision log
+    """
+
+    __slots__ = (
+        "_config",
+        "_client",
+        "_fence",
+        "_publish",
+        "_log",
+        "_limiter",
+        "_servers",
+        "_models",
+        "_placements",
+        "_published",
+        "_started_at",
+        "held",
+        "withdrawn",
+        "_busy",
+        "_retry_at",
+    )
+
+    def __init__(
+        self,
+        config: ExecutorConfig,
+        client: EngineClient,
+        fence: Callable[[], int | None],
+        publish: Callable[[dict], Awaitable[None]],
+        log: DecisionLog,
+    ):
+        self._config = config
+        self._client = client
+        self._fence = fence
+        self._publish = publish
+        self._log = log
+        self._limiter = trio.CapacityLimiter(config.parallel_orders)
+        self._servers: dict = {}
+        self._models: dict = {}
+        self._placements: dict = {}
+        self._published: dict | None = None
+        self._started_at = 0.0
+        #: Ranges that each server held when it last replied.
+        self.held: dict[str, set[tuple]] = {}
+        #: Ranges out of service, with the time when their last stream has ended.
+        self.withdrawn: dict[tuple, float] = {}
+        self._busy: set[tuple] = set()
+        self._retry_at: dict[str, float] = {}
+
+    def set_targets(self, placements, servers, models) -> None:
+        """Set the targets and the live servers; takes effect in the next round."""
+        self._placements = placements
+        self._servers = servers
+        self._models = models
+        for name in self.held.keys() - servers.keys():
+            del self.held[name]
+        self.withdrawn = {key: at for key, at in self.withdrawn.items() if key[0] in self.held}
+
+    def is_done(self) -> bool:
+        """Tell whether all live servers hold exactly their targets."""
+        plan = (self._placements, self.held, self.withdrawn, self._busy)
+        steps, leave, back = next_steps(*plan, self._servers, self._models)
+        known = self.held.keys() >= self._servers.keys()
+        return known and not (steps or leave or back or self._busy or self.withdrawn)
+
+    async def run(self) -> None:
+        """Work until cancelled.
+
+        :raises BasilwinchError: with ``LEASE_LOST`` when the lease is not safely held, with
+            ``FENCED`` when a server has seen a newer holder
+        """
+        self._started_at = trio.current_time()
+        lost = []
+        try:
+            async with trio.open_nursery() as nursery:
+                while True:
+                    await self._round(nursery)
+                    await trio.sleep(self._config.poll_s)
+        except* BasilwinchError as group:
+            lost += group.exceptions
+        # The first cause ends the run; orders that were on their way are cancelled with it.
+        raise BasilwinchError(_first(lost).failure)
+
+    async def _round(self, nursery) -> None:
+        self._token()
+        now = trio.current_time()
+        for name, server in self._servers.items():
+            due = now >= self._retry_at.get(name, 0.0)
+            if name not in self.held and due and self._may_order(server, now):
+                self._retry_at[name] = now + self._config.retry_s
+                nursery.start_soon(self._read_back, server)
+        unready = self._busy | {key for key, at in self.withdrawn.items() if at > now}
+        steps, leave, back = next_steps(
+            self._placements, self.held, self.withdrawn, unready, self._servers, self._models
+        )
+        for key in back:
+            del self.withdrawn[key]
+        for key in leave:
+            self.withdrawn[key] = now + self._config.drain_s
+        # Routers learn that a range is out of service before its drain time runs.
+        await self._announce()
+        for step in steps:
+            self._busy.add((step.server, step.held))
+            nursery.start_soon(self._carry_out, step)
+
+    async def _announce(self) -> None:
+        present = {name: held for name, held in self.held.items() if name in self._servers}
+        placements = serving(present, self.withdrawn, self._placements, self._models)
+        if placements != self._published:
+            await self._publish(placements)
+            self._published = placements
+
+    def _token(self) -> int:
+        fence = self._fence()
+        if fence is None:
+            raise BasilwinchError(LEASE_LOST.because("the placement lease is not safely held"))
+        return fence
+
+    def _may_order(self, server, now) -> bool:
+        return server.checks_fencing or now >= self._started_at + self._config.quiet_s
+
+    async def _read_back(self, server) -> None:
+        # Unloading an empty range changes nothing; the reply tells what the server holds.
+        await self._send(server, OrderKind.UNLOAD, ("", "", 0, 0))
+
+    async def _carry_out(self, step: Step) -> None:
+        server = self._servers.get(step.server)
+        key = (step.server, step.held)
+        try:
+            if server is None:
+                return
+            if not server.checks_fencing:
+                # A former holder's late order may have changed the server since.
+                await self._read_back(server)
+                if (step.kind is OrderKind.LOAD) == (
+                    step.held in self.held.get(step.server, set())
+                ):
+                    return
+            self._log.record(
+                "place", step.kind.value, "towards the target", server=step.server, held=step.held
+            )
+            await self._send(server, step.kind, step.held)
+            if step.kind is OrderKind.UNLOAD:
+                self.withdrawn.pop(key, None)
+        finally:
+            self._busy.discard(key)
+
+    async def _send(self, server, kind, entry) -> None:
+        model, version, first, end = entry
+        async with self._limiter:
+            order = ServerOrder(kind, self._token(), model, version, "", first, end)
+            try:
+                reply = await self._client.order(server, order)
+            except ServerError as error:
+                if error.failure.kind is FENCED:
+                    raise
+                # What it holds is not known any more, so it is read back before the next order.
+                self.held.pop(server.name, None)
+                self._retry_at[server.name] = trio.current_time() + self._config.retry_s
+                self._log.record("place", "order failed", error.failure.reason, server=server.name)
+                return
+        self.held[server.name] = {tuple(entry) for entry in reply.holds}
+
+
+def _first(errors) -> BasilwinchError:
+    first = errors[0]
+    return _first(first.exceptions) if isinstance(first, BaseExceptionGroup) else first
