--- a/basilwinch/placement/planner.py
+++ b/basilwinch/placement/planner.py
@@ -33,6 +33,9 @@
     :param max_moves: servers of a group that may get another layer range in one replan
     :param min_gain: least relative gain in rate for each moved server
     :param rebuild_below: part of the rate of a fresh plan of a group below which it is taken
+    :param rebuild_joined: part of a group that joins at once from which on it is planned afresh if
+        it stays below ``rebuild_gain``
+    :param rebuild_gain: part of the rate of a fresh plan of such a group
     """
 
     __slots__ = (
@@ -44,6 +47,8 @@
         "max_moves",
         "min_gain",
         "rebuild_below",
+        "rebuild_joined",
+        "rebuild_gain",
     )
     _defaults = {
         "group_size": 40,
@@ -54,6 +59,8 @@
         "max_moves": 4,
         "min_gain": 0.02,
         "rebuild_below": 0.5,
+        "rebuild_joined": 0.2,
+        "rebuild_gain": 0.9,
     }
 
 
@@ -150,19 +157,25 @@
         layout = layout_of(candidate, known, models, workload, config)
         waiting = [known[n] for n in candidate.idle if n in known]
         add_servers(layout, waiting)
-        improve(layout, config.steps, self._rng, config.max_moves, config.min_gain)
+        # New servers load anyway, so a wave of joins or losses may move as many others.
+        budget = config.max_moves + len(waiting) + len(group.servers) - len(layout.servers)
+        budget = max(budget, config.max_moves)
+        improve(layout, config.steps, self._rng, budget, config.min_gain)
         if not min(layout.values, default=0.0):
             layout.relax()
-            improve(layout, config.steps, self._rng, config.max_moves, config.min_gain)
+            improve(layout, config.steps, self._rng, budget, config.min_gain)
         kept = group_of(layout, group.region, dict(group.mix), group.bundles)
         rate = layout.plain_rate()
-        if rate and len(known) > config.rebuild_below * len(group.servers):
+        grown = len(waiting) > config.rebuild_joined * len(known)
+        if rate and not grown and len(known) > config.rebuild_below * len(group.servers):
             return kept
         fresh = self._plan_group(list(known.values()), dict(group.mix), models, workload)
         if fresh is None:
             return kept
         fresh_rate = layout_of(fresh, known, models, workload, config).plain_rate()
-        return fresh if rate < config.rebuild_below * fresh_rate else kept
+        # While a large part loads anyway, a good layout is worth loading the rest too.
+        least = config.rebuild_gain if grown else config.rebuild_below
+        return fresh if rate < least * fresh_rate else kept
 
     def _group_for(self, server, groups, joined) -> int:
         """Return the index of the group that a new server joins, -1 if there is none."""
