--- a/basilwinch/order/contact.py
+++ b/basilwinch/order/contact.py
@@ -78,10 +78,6 @@
         if self._down_since is None:
             self._down_since = ended
 
-    def confuse(self) -> None:
-        """Note an ambiguous call: the service may be up for others."""
-        self._down_since = None
-
     def is_born_in_outage(self, issued: float, now: float) -> bool:
         """Return whether the service has been down since before an id was issued, for ``wait_s``.
 
--- a/basilwinch/order/outcome.py
+++ b/basilwinch/order/outcome.py
@@ -68,7 +68,8 @@
     :param skew_s: largest difference between the clocks of two nodes
     :param require_timed_ids: refuse ids that carry no time. Their records are kept for ever, which
         the design size cannot afford.
-    :param wait_s: longest wait for the platform before a caller is answered
+    :param wait_s: an outage of the platform this long makes an order issued in it "not run"
+    :param hold_s: longest wait for the platform before "unknown" is answered
     :param send_limit_s: a claim older than this by the holder's clock is not sent any more
     :param call_limit_s: a call is given up when its claim is this old
     :param service_max_s: a call that was sent takes effect within this time or never
@@ -89,6 +90,7 @@
         "skew_s",
         "require_timed_ids",
         "wait_s",
+        "hold_s",
         "send_limit_s",
         "call_limit_s",
         "service_max_s",
@@ -103,16 +105,17 @@
         "prefix": "orders/",
         "queries": {},
         "retention_s": 3600.0,
-        "skew_s": 0.5,
+        "skew_s": 0.25,
         "require_timed_ids": False,
-        "wait_s": 10.0,
+        "wait_s": 5.0,
+        "hold_s": 12.0,
         "send_limit_s": 10.0,
         "call_limit_s": 20.0,
         "service_max_s": 30.0,
         "settle_wait_s": 5.0,
         "outcome_delay_s": 0.5,
         "group": 60,
-        "probe_s": 4.0,
+        "probe_s": 2.0,
         "reply_bytes": 4096,
         "remembered": 10_000,
     }
--- a/basilwinch/order/runner.py
+++ b/basilwinch/order/runner.py
@@ -33,8 +33,6 @@
 __all__ = ["OrderRunner"]
 
 _ROUND_S = 0.1
-# Wait for the key-value service in an outage that is already long; covers a few calls.
-_LATE_WAIT_S = 1.0
 
 
 class OrderRunner:
@@ -177,7 +175,8 @@
             return self._aged(order_id)
         claim = self._new_claim(ClaimState.CLAIMED, digest, request.service, request.call.path)
         entry = Entry(key, claim, issued is not None)
-        await self._writer.create(entry, trio.current_time() + self._patience())
+        deadline = trio.current_time() + self._config.hold_s
+        await self._writer.create(entry, deadline, lambda: self._is_refusable(issued))
         if entry.found is not None:
             return await self._follow(request, entry, digest)
         if not entry.written:
@@ -188,12 +187,13 @@
             return self._finish_not_run(entry, failure)
         return await self._send(request, entry)
 
-    def _patience(self) -> float:
-        """Return how long a claim waits for the key-value service."""
-        down = self._contact.down_since
-        if down is not None and self._clock() - down >= self._config.wait_s:
-            return _LATE_WAIT_S
-        return self._config.wait_s
+    def _is_refusable(self, issued: float | None) -> bool:
+        """Return whether an order that cannot be claimed now is provably not run, for good."""
+        return (
+            issued is not None
+            and self._contact.is_born_in_outage(issued, self._clock())
+            and not self._peers_reach_platform()
+        )
 
     def _find_obstacle(self, issued: float | None) -> Failure | None:
         """Return why a claimed order must not be sent."""
@@ -267,15 +267,9 @@
     def _refuse(self, order_id: str, entry: Entry, issued: float | None):
         """Answer an order whose claim could not be written."""
         failure = entry.failure
-        provable = (
-            issued is not None
-            and not entry.ambiguous
-            and self._contact.is_born_in_outage(issued, self._clock())
-            and not self._peers_reach_platform()
-        )
-        if not provable:
-            return OrderUnknown(order_id, failure)
-        return OrderNotRun(ORDER_NOT_CLAIMED.because(failure.reason))
+        if self._is_refusable(issued):
+            return OrderNotRun(ORDER_NOT_CLAIMED.because(failure.reason))
+        return OrderUnknown(order_id, failure)
 
     async def _void(self, order_id: str, key: str, timed: bool, reason: str):
         """Create a record that keeps an id from running, or return what is known of it."""
--- a/basilwinch/order/writer.py
+++ b/basilwinch/order/writer.py
@@ -24,6 +24,8 @@
 # each node and period instead of one delete for each order.
 _LEASE_SHARE = 0.25
 _RETRY_S = 0.25
+_FIRST_RETRY_S = 0.01
+_FAILURES_TO_GIVE_UP = 3
 
 
 class Entry:
@@ -72,7 +74,10 @@
         "_clock",
         "_entries",
         "_outcomes",
+        "_failed",
         "_writing",
+        "_retry_at",
+        "_failures",
         "_lease",
         "_lease_until",
         "writes",
@@ -93,16 +98,20 @@
         self._clock = clock
         self._entries: deque[Entry] = deque()
         self._outcomes: dict[str, tuple[Claim, bool]] = {}
+        self._failed: list[Entry] = []
         self._writing = False
+        self._retry_at = 0.0
+        self._failures = 0
         self._lease = 0
         self._lease_until = 0.0
         #: Writes sent to the key-value service.
         self.writes = 0
 
-    async def create(self, entry: Entry, deadline: float) -> None:
+    async def create(self, entry: Entry, deadline: float, is_refusable=lambda: False) -> None:
         """Create a record if its key does not exist; the entry then tells what happened.
 
         :param deadline: trio time until which failed writes are repeated
+        :param is_refusable: returns whether to stop earlier, after a failed write
         """
         while True:
             entry.settled = trio.Event()
@@ -113,11 +122,14 @@
                         await entry.settled.wait()
                 else:
                     await self._write_group()
-            if entry.failure is None or trio.current_time() >= deadline:
+            if entry.failure is None:
+                return
+            # A node that was paused must not give up because its first call afterwards is lost.
+            late = trio.current_time() >= deadline and self._failures >= _FAILURES_TO_GIVE_UP
+            if late or is_refusable():
                 return
             if entry.failure.kind not in (PLATFORM_UNAVAILABLE, PLATFORM_AMBIGUOUS):
                 return
-            await trio.sleep(self._rng.uniform(0.5, 1.0) * _RETRY_S)
 
     def add_outcome(self, key: str, claim: Claim, timed: bool) -> None:
         """Write a record later, together with claims; :meth:`flush` bounds the delay."""
@@ -130,7 +142,7 @@
 
     async def flush(self) -> None:
         """Write the outcomes that wait, unless a write is in progress."""
-        if self._outcomes and not self._writing:
+        if self._outcomes and not self._writing and trio.current_time() >= self._retry_at:
             await self._write_group()
 
     async def read(self, key: str) -> KeyValue | None:
@@ -165,6 +177,9 @@
         self._writing = True
         group = []
         try:
+            # After a failure the node tries again with one write for all that wait, so an outage
+            # costs the same few calls however many orders are held.
+            await trio.sleep_until(self._retry_at)
             # Two claims of one key cannot share a write; the second one waits for the next.
             keys = set()
             for _ in range(len(self._entries)):
@@ -181,7 +196,13 @@
         finally:
             self._writing = False
             for entry in group:
+                if not entry.written and entry.found is None and entry.failure is None:
+                    entry.ambiguous = True
+                    entry.failure = PLATFORM_AMBIGUOUS.because("the write was interrupted")
+                entry.settled.set()
+            for entry in self._failed:
                 entry.settled.set()
+            self._failed.clear()
 
     async def _write_split(self, group: list[Entry]) -> None:
         """Write a group; on a failed condition halve it until the duplicates are found."""
@@ -197,6 +218,15 @@
                 await self._write_split(group[half:])
         except PlatformError as error:
             ambiguous = error.failure.kind is not PLATFORM_UNAVAILABLE
+            # A single lost call is repeated soon, an outage is probed slowly.
+            self._failures += 1
+            delay = min(_RETRY_S, _FIRST_RETRY_S * 4 ** (self._failures - 1))
+            self._retry_at = trio.current_time() + self._rng.uniform(0.5, 1.0) * delay
+            if not ambiguous:
+                # The calls of the others that wait would fail alike.
+                self._failed.extend(self._entries)
+                group = [*group, *self._entries]
+                self._entries.clear()
             for entry in group:
                 if not entry.written and entry.found is None:
                     entry.failure = error.failure
@@ -241,6 +271,7 @@
                 self._lease = 0
                 raise PlatformError(PLATFORM_UNAVAILABLE.because("the lease was lost")) from error
             raise
+        self._failures = 0
         if result.succeeded:
             for key, written in outcomes.items():
                 if self._outcomes.get(key) is written:
@@ -275,10 +306,9 @@
         try:
             result = await call(*arguments)
         except PlatformError as error:
+            # An ambiguous call says neither that the service is down nor that it is up.
             if error.failure.kind is PLATFORM_UNAVAILABLE:
                 self.contact.fail(self._clock())
-            elif error.failure.kind is PLATFORM_AMBIGUOUS:
-                self.contact.confuse()
             raise
         self.contact.succeed(started, self._clock(), getattr(result, "revision", 0))
         return result
