--- a/Makefile
+++ b/Makefile
@@ -29,3 +29,6 @@
 
 test: setup
 	PYTHONHASHSEED=0 $(BIN)/python -m pytest
+
+bench-recovery: setup
+	PYTHONHASHSEED=0 $(BIN)/python -m bench.recovery
--- a/basilwinch/order/outcome.py
+++ b/basilwinch/order/outcome.py
@@ -113,7 +113,7 @@
         "call_limit_s": 20.0,
         "service_max_s": 30.0,
         "settle_wait_s": 5.0,
-        "outcome_delay_s": 0.5,
+        "outcome_delay_s": 2.0,
         "group": 60,
         "probe_s": 2.0,
         "reply_bytes": 4096,
--- a/basilwinch/order/runner.py
+++ b/basilwinch/order/runner.py
@@ -102,7 +102,7 @@
             await self._writer.probe()
             await self._writer.flush()
             self._contact.forget(self._clock() - 2 * self._config.retention_s)
-            await trio.sleep(self._config.outcome_delay_s)
+            await trio.sleep(min(self._config.outcome_delay_s, self._config.probe_s))
 
     async def flush(self) -> None:
         """Write waiting outcomes now; call it before the node exits."""
--- a/basilwinch/order/writer.py
+++ b/basilwinch/order/writer.py
@@ -76,6 +76,7 @@
         "_outcomes",
         "_failed",
         "_writing",
+        "_ended",
         "_retry_at",
         "_failures",
         "_lease",
@@ -100,6 +101,7 @@
         self._outcomes: dict[str, tuple[Claim, bool]] = {}
         self._failed: list[Entry] = []
         self._writing = False
+        self._ended = trio.Event()
         self._retry_at = 0.0
         self._failures = 0
         self._lease = 0
@@ -118,8 +120,8 @@
             self._entries.append(entry)
             while not entry.settled.is_set():
                 if self._writing:
-                    with trio.move_on_after(_RETRY_S):
-                        await entry.settled.wait()
+                    # Whoever wakes first writes for those whose entry came too late.
+                    await self._ended.wait()
                 else:
                     await self._write_group()
             if entry.failure is None:
@@ -203,6 +205,8 @@
             for entry in self._failed:
                 entry.settled.set()
             self._failed.clear()
+            self._ended.set()
+            self._ended = trio.Event()
 
     async def _write_split(self, group: list[Entry]) -> None:
         """Write a group; on a failed condition halve it until the duplicates are found."""
--- a/bench/recovery_fleet.py
+++ b/bench/recovery_fleet.py
@@ -3,6 +3,7 @@
 import random
 
 import trio
+import trio.testing
 
 from basilwinch.exception import RETRIES_EXHAUSTED, BasilwinchError
 from basilwinch.history import Answered, History, Invoked, Outcome
--- a/bench/recovery_orders.py
+++ b/bench/recovery_orders.py
@@ -3,6 +3,7 @@
 import random
 
 import trio
+import trio.testing
 
 from basilwinch.catalog import Server
 from basilwinch.exception import (
