--- a/basilwinch/placement/__init__.py
+++ b/basilwinch/placement/__init__.py
@@ -1,8 +1,8 @@
 """Placement of model layers on servers: the bound, the planner and the executor of orders."""
 
 from basilwinch.placement.bound import Bound, Workload, bound_of_fleet, bound_of_placements
-from basilwinch.placement.holding import read_placements, render_holdings
 from basilwinch.placement.executor import Executor, ExecutorConfig
+from basilwinch.placement.holding import read_placements, render_holdings
 from basilwinch.placement.planner import Plan, Planner, PlannerConfig, changed_servers
 from basilwinch.placement.targets import TargetStore
 
