--- a/basilwinch/standin/tests/test_keyvalue.py
+++ b/basilwinch/standin/tests/test_keyvalue.py
@@ -63,7 +63,7 @@
 
 
 def test_faults_tell_certain_from_ambiguous():
-    """Guards against a stand-in that is kinder than the platform."""
+    """Guards against a stand-in that hides faults of the platform."""
 
     async def main():
         store = MemoryKeyValueStore()
