Use the glossary's word for responses in the tool

Cause: the tool said answer where the glossary says response. Change: help text and status line. Measured: 8 tests of the tool pass. Conclusion: wording only.

--- a/basilwinch/cli/commands/publish.py
+++ b/basilwinch/cli/commands/publish.py
@@ -28,7 +28,7 @@
     add_nodes(parser)
     add_switch(parser, "--wait", "Wait until the note is in effect on every node.")
     add_setting(parser, "--wait-timeout", "60", "Seconds to wait at most.", float)
-    add_setting(parser, "--settle-timeout", "30", "Seconds to settle a lost answer.", float)
+    add_setting(parser, "--settle-timeout", "30", "Seconds to settle a lost response.", float)
     add_setting(parser, "--author", "", "Name for the history; by default the user's name.")
     parser.add_argument("--base", type=int, help="Revision that the note was planned against.")
     parser.add_argument(
--- a/basilwinch/cli/commands/status.py
+++ b/basilwinch/cli/commands/status.py
@@ -42,7 +42,7 @@
     lines = [describe_note(recent[-1]) if recent else f"revision {state.revision.number}"]
     lines.append(", ".join(f"{count} {section}" for section, count in counts.items()))
     for url, held in nodes.items():
-        lines.append(f"{url}: " + ("no answer" if held is None else f"revision {held}"))
+        lines.append(f"{url}: " + ("no response" if held is None else f"revision {held}"))
     return context.output.succeed(
         "\n".join(lines),
         revision=state.revision.number,
--- a/basilwinch/cli/nodes.py
+++ b/basilwinch/cli/nodes.py
@@ -23,7 +23,7 @@
 
 
 async def read_revisions(urls: list[str]) -> dict[str, int | None]:
-    """Return the revision in effect on each node, None for a node that does not answer."""
+    """Return the revision in effect on each node, None for a node that does not respond."""
     revisions: dict[str, int | None] = {}
     limiter = trio.CapacityLimiter(_PARALLEL_READS)
     async with httpcore.AsyncConnectionPool() as pool, trio.open_nursery() as nursery:
