--- a/basilwinch/cli/program.py
+++ b/basilwinch/cli/program.py
@@ -49,11 +49,10 @@
     configure_logs("console", "error")
     args = build_parser().parse_args(argv)
     context = Context(Output(sys.stdout, args.json))
-    if "main" in args:
-        return int(args.main(args, context))
-    return trio.run(execute, args, context)
     try:
-        return trio.run(execute, args, Context(Output(sys.stdout, args.json)))
+        if "main" in args:
+            return int(args.main(args, context))
+        return trio.run(execute, args, context)
     except KeyboardInterrupt:
         # The usual exit code of a program ended by SIGINT.
         return 130
--- a/basilwinch/daemon/holding.py
+++ b/basilwinch/daemon/holding.py
@@ -12,7 +12,7 @@
 _NO_LINES = {"": 0}
 
 
-def build_holding_note(catalog: Catalog, placements) -> ReleaseNote:
+def build_holding_note(catalog: Catalog, placements, kept=()) -> ReleaseNote:
     """Return the note that turns the holdings of a catalog into those of some placements.
 
     Placements travel as a release note, so that they spread and stay in effect by the same
@@ -20,9 +20,10 @@
 
     :param catalog: the state in effect
     :param placements: iterable of :class:`~basilwinch.pipeline.Placement`
+    :param kept: holdings that stay although the placements do not give them
     :returns: a note, without items if nothing changes. Linear in the number of holdings.
     """
-    wanted = render_holdings(placements)
+    wanted = {holding.name: holding for holding in kept} | render_holdings(placements)
     items = []
     for name, holding in sorted(wanted.items()):
         held = catalog.holdings.get(name)
--- a/basilwinch/daemon/node.py
+++ b/basilwinch/daemon/node.py
@@ -12,6 +12,7 @@
 from basilwinch.daemon.core import CoreConfig, NodeCore, Outside
 from basilwinch.daemon.embedded import EmbeddedPlatform, plan_placements
 from basilwinch.daemon.holding import build_holding_note
+from basilwinch.daemon.placing import PlacementTask
 from basilwinch.daemon.server import drain_gateway, serve_application, wait_for_signal
 from basilwinch.exception import INVALID_SETTING, ConfigurationError, Failure
 from basilwinch.gateway import (
@@ -82,6 +83,7 @@
             membership = await build_membership(settings, core, source, rng)
             core.find_unsynced = partial(_find_unsynced, membership)
             tasks = [membership.run, partial(follow_members, core, membership)]
+        tasks.append(PlacementTask(core, rng).run)
         return cls(settings, core, _build_gateway(settings, core), tasks)
 
     @classmethod
--- a/basilwinch/server/call.py
+++ b/basilwinch/server/call.py
@@ -106,7 +106,11 @@
 
 
 class ServerOrderReply(Record):
-    """Answer to an order: what the server holds now, as stages by model."""
+    """Answer to an order.
+
+    :param accepted: whether the order was carried out
+    :param holds: what the server holds now, a tuple of (model, version, first, end)
+    """
 
     __slots__ = ("accepted", "holds")
     _defaults = {"holds": ()}
--- a/basilwinch/server/engine.py
+++ b/basilwinch/server/engine.py
@@ -9,7 +9,7 @@
 from basilwinch import exception
 from basilwinch.catalog import Server
 from basilwinch.exception import Failure, FailureKind, ServerError
-from basilwinch.pipeline import Stage, TokenFrame
+from basilwinch.pipeline import TokenFrame
 from basilwinch.server.call import EngineCall, ServerOrder, ServerOrderReply
 from basilwinch.server.connection import send_request, translate_errors
 
@@ -91,7 +91,7 @@
         if response.status != 200:
             raise ServerError(_read_failure(response.content, server.name))
         fields = json.loads(response.content)
-        holds = tuple((model, Stage(*stage)) for model, stage in fields["holds"])
+        holds = tuple(map(tuple, fields["holds"]))
         return ServerOrderReply(fields["accepted"], holds)
 
     async def close(self) -> None:
@@ -136,4 +136,5 @@
 
 def _to_failure(fields: dict, server: str) -> Failure:
     kind: FailureKind = _STREAM_KINDS.get(fields["code"], exception.SERVER_REFUSED)
-    return kind.because(fields.get("reason", ""), server=fields.get("server", server))
+    detail = {"server": server} | fields.get("detail", {})
+    return kind.because(fields.get("reason", ""), **detail)
--- a/basilwinch/standin/engine.py
+++ b/basilwinch/standin/engine.py
@@ -51,7 +51,7 @@
         state = self._require(server)
         if state.checks_fencing and order.fence < state.fence:
             reason = f"fencing token {order.fence} is older than {state.fence}"
-            raise ServerError(FENCED.because(reason, server=server))
+            raise ServerError(FENCED.because(reason, server=server, fence=state.fence))
         state.fence = max(state.fence, order.fence)
         self.order_log.append((self.timeline.now, server, order))
         seconds = 0.0
--- a/basilwinch/standin/http.py
+++ b/basilwinch/standin/http.py
@@ -66,7 +66,7 @@
     async def _order(self, exchange: Exchange, server: Server) -> None:
         order = ServerOrder(**json.loads(await exchange.read_body(1 << 20, 30.0)))
         reply = await self._client.order(server, order)
-        holds = [[model, stage.to_list()] for model, stage in reply.holds]
+        holds = [list(held) for held in reply.holds]
         await exchange.respond_json(200, {"accepted": reply.accepted, "holds": holds})
 
     async def _call_service(self, exchange: Exchange, server: Server) -> None:
