--- a/basilwinch/relay/evidence.py
+++ b/basilwinch/relay/evidence.py
@@ -48,13 +48,12 @@
     :param strikes: tuple of :class:`Strike`
     :param cleared: ids of the strikes that the request did not cause
     :param left_s: seconds until the entry expires
-    :param tester: node that runs it in isolation or did so last, or empty
-    :param tester_left_s: seconds until that claim expires, 0 if it has ended
-    :param servers: servers of the isolated run
+    :param tests: tuple of (node, number, seconds left, servers), the last isolated run of each
+        node; no seconds are left of one that has ended
     """
 
-    __slots__ = ("digest", "strikes", "cleared", "left_s", "tester", "tester_left_s", "servers")
-    _defaults = {"cleared": (), "tester": "", "tester_left_s": 0.0, "servers": ()}
+    __slots__ = ("digest", "strikes", "cleared", "left_s", "tests")
+    _defaults = {"cleared": (), "tests": ()}
 
 
 def pack(entries: list[SuspectEntry]) -> bytes:
@@ -80,7 +79,7 @@
     """
     try:
         entries = []
-        for digest, strikes, cleared, left_s, tester, tester_left_s, servers in json.loads(data):
+        for digest, strikes, cleared, left_s, tests in json.loads(data):
             strikes = tuple(
                 Strike(str(i), str(s), Loss(k), bool(g), bool(o), max(0.0, float(a)))
                 for i, s, k, g, o, a in strikes
@@ -91,9 +90,10 @@
                     strikes,
                     tuple(map(str, cleared)),
                     float(left_s),
-                    str(tester),
-                    float(tester_left_s),
-                    tuple(map(str, servers)),
+                    tuple(
+                        (str(node), int(number), float(left), tuple(map(str, servers)))
+                        for node, number, left, servers in tests
+                    ),
                 )
             )
     except (ValueError, TypeError) as error:
@@ -111,15 +111,14 @@
     :param until: time of expiry
     """
 
-    __slots__ = ("strikes", "cleared", "until", "tester", "tester_until", "servers", "convicted_at")
+    __slots__ = ("strikes", "cleared", "until", "tests", "convicted_at")
 
     def __init__(self, until: float):
         self.strikes: dict[str, tuple[Strike, float]] = {}
         self.cleared: set[str] = set()
         self.until = until
-        self.tester = ""
-        self.tester_until = 0.0
-        self.servers: tuple[str, ...] = ()
+        #: Last isolated run of each node: its number, when it ends at the latest, its servers.
+        self.tests: dict[str, tuple[int, float, tuple[str, ...]]] = {}
         self.convicted_at: float | None = None
 
     def active(self) -> list[Strike]:
@@ -157,26 +156,36 @@
             self.strikes.setdefault(strike.id, (strike, now - strike.age_s))
         self.cleared.update(entry.cleared)
         self.until = max(self.until, now + entry.left_s)
-        if not entry.tester:
-            return
-        if entry.tester_left_s <= 0:
-            if entry.tester == self.tester:
-                self.tester_until = 0.0
-        elif now >= self.tester_until or entry.tester <= self.tester:
-            self.tester = entry.tester
-            self.tester_until = now + entry.tester_left_s
-            self.servers = entry.servers
+        for node, number, left_s, servers in entry.tests:
+            known, until, _ = self.tests.get(node, (0, 0.0, ()))
+            ends = now + left_s if left_s > 0 else 0.0
+            if number > known:
+                self.tests[node] = (number, ends, servers)
+            elif number == known:
+                # The earlier end is right: entries come back late over other nodes.
+                self.tests[node] = (number, min(until, ends), servers)
+
+    def tester(self, now: float) -> str:
+        """Return the node that runs the request in isolation now, or an empty string.
+
+        If two nodes started at once, the one whose name comes first goes on.
+        """
+        return min((node for node, test in self.tests.items() if now < test[1]), default="")
+
+    def begin_test(self, node: str, until: float, servers: tuple[str, ...] = ()) -> None:
+        """Note that a node starts an isolated run."""
+        number = self.tests.get(node, (0, 0.0, ()))[0] + 1
+        self.tests[node] = (number, until, servers)
+
+    def end_test(self, node: str) -> None:
+        """Note that a node's isolated run has ended."""
+        self.tests[node] = (self.tests[node][0], 0.0, ())
 
     def to_entry(self, digest: str, now: float) -> SuspectEntry:
         """Return the form for other nodes."""
         strikes = tuple(strike.replace(age_s=now - at) for strike, at in self.strikes.values())
-        testing = now < self.tester_until
-        return SuspectEntry(
-            digest,
-            strikes,
-            tuple(sorted(self.cleared)),
-            self.until - now,
-            self.tester,
-            self.tester_until - now if testing else 0.0,
-            self.servers if testing else (),
+        tests = tuple(
+            (node, number, max(0.0, until - now), servers)
+            for node, (number, until, servers) in self.tests.items()
         )
+        return SuspectEntry(digest, strikes, tuple(sorted(self.cleared)), self.until - now, tests)
--- a/basilwinch/relay/run.py
+++ b/basilwinch/relay/run.py
@@ -1,7 +1,6 @@
 """One model request in progress."""
 
 import math
-from contextlib import AsyncExitStack
 
 import trio
 
@@ -21,6 +20,7 @@
     ServerError,
 )
 from basilwinch.pipeline import Chain, FrameChecker, TokenFrame
+from basilwinch.relay.attempt import Attempt
 from basilwinch.relay.budget import draw_backoff
 from basilwinch.relay.request import ModelRequest, count_prompt_tokens
 from basilwinch.relay.resume import ResumeKind, choose_resume, import_kv
@@ -38,32 +38,6 @@
 _CLOSE_LIMIT_S = 1.0
 
 
-class _Attempt:
-    """The attempt in progress: its chain, stream and checks."""
-
-    __slots__ = (
-        "number",
-        "choice",
-        "stream",
-        "checker",
-        "gap",
-        "stack",
-        "started",
-        "last",
-        "frames",
-    )
-
-    def __init__(self, number: int, choice: RouteChoice, checker: FrameChecker, gap: GapEstimate):
-        self.number = number
-        self.choice = choice
-        self.checker = checker
-        self.gap = gap
-        self.stream = None
-        self.stack = AsyncExitStack()
-        self.started = self.last = trio.current_time()
-        self.frames = 0
-
-
 class Run:
     """Async iterator of the frames of one request, over all its attempts.
 
@@ -142,7 +116,7 @@
         checker = FrameChecker(request.request, self._number, chain, start)
         config = relay.config
         gap = GapEstimate(choice.expected_token_s, config.stall_min_s, config.stall_max_s)
-        self._attempt = _Attempt(self._number, choice, checker, gap)
+        self._attempt = Attempt(self._number, choice, checker, gap)
         relay.router.begin(choice, now)
         relay.suspects.begin(self._digest, self._key, chain.servers, isolated, now)
         relay.log.record(
@@ -195,7 +169,7 @@
             return None
         return self._remaining()
 
-    async def _connect(self, attempt: _Attempt) -> None:
+    async def _connect(self, attempt: Attempt) -> None:
         request = self._request
         call = EngineCall(
             request=request.request,
@@ -270,7 +244,7 @@
             if not stale:
                 return failure
 
-    async def _translate(self, attempt: _Attempt, error: Exception) -> Failure:
+    async def _translate(self, attempt: Attempt, error: Exception) -> Failure:
         """Let the client's context turn an I/O error of its library into a typed one."""
         try:
             await attempt.stack.__aexit__(type(error), error, error.__traceback__)
@@ -293,7 +267,7 @@
             self._relay.suspects.clear(self._digest, now)
         return frame
 
-    def _timeout(self, attempt: _Attempt) -> float:
+    def _timeout(self, attempt: Attempt) -> float:
         """Return how long to wait for the next frame.
 
         Without a retry left, a stalled stream is given three times as long: it cannot be replaced,
@@ -361,7 +335,7 @@
         await trio.sleep(min(delay, max(0.0, self._remaining())))
         return None
 
-    def _note_lost(self, failure: Failure, attempt: _Attempt, now: float) -> None:
+    def _note_lost(self, failure: Failure, attempt: Attempt, now: float) -> None:
         """Tell the router and the suspect registry which servers were lost."""
         relay, chain = self._relay, attempt.choice.chain
         server = failure.detail.get("server")
--- a/basilwinch/relay/suspect.py
+++ b/basilwinch/relay/suspect.py
@@ -190,7 +190,7 @@
                 continue
             if not evidence.needs_isolation(resent=not retry) or remaining() <= 0:
                 return False
-            tested = now < evidence.tester_until or digest in self._testing.values()
+            tested = evidence.tester(now) or digest in self._testing.values()
             if not tested and len(self._testing) < config.slots:
                 if await self._claim_test(digest, request, evidence):
                     return True
@@ -206,8 +206,7 @@
         self._running[request] = _Running(digest, servers, isolated, now)
         if isolated:
             evidence = self._record(digest, now)
-            evidence.servers = tuple(servers)
-            evidence.tester_until = now + self._config.test_s
+            evidence.begin_test(self._config.node, now + self._config.test_s, tuple(servers))
             self._changed()
         else:
             self._testing.pop(request, None)
@@ -240,8 +239,10 @@
         return frozenset(
             server
             for other, evidence in self._records.items()
-            if other != digest and now < evidence.tester_until
-            for server in evidence.servers
+            if other != digest
+            for _, until, servers in evidence.tests.values()
+            if now < until
+            for server in servers
         )
 
     # Losses of servers.
@@ -350,9 +351,7 @@
 
     async def _claim_test(self, digest: str, request: str, evidence: Evidence) -> bool:
         node = self._config.node
-        evidence.tester = node
-        evidence.tester_until = trio.current_time() + self._config.test_s
-        evidence.servers = ()
+        evidence.begin_test(node, trio.current_time() + self._config.test_s)
         self._testing[request] = digest
         self._changed()
         try:
@@ -360,19 +359,18 @@
         except BaseException:
             self._end_test(digest, request)
             raise
-        if evidence.tester == node and not evidence.is_convicted():
+        if evidence.tester(trio.current_time()) == node and not evidence.is_convicted():
             self._log.record("suspect", "isolated", "suspect runs alone", request=request)
             return True
-        self._testing.pop(request, None)
+        self._end_test(digest, request)
         return False
 
     def _end_test(self, digest: str, request: str) -> None:
         if self._testing.pop(request, None) is None:
             return
         evidence = self._records.get(digest)
-        if evidence is not None and evidence.tester == self._config.node:
-            evidence.tester_until = 0.0
-            evidence.servers = ()
+        if evidence is not None and self._config.node in evidence.tests:
+            evidence.end_test(self._config.node)
             self._changed()
 
     def _record(self, digest: str, now: float) -> Evidence:
--- a/basilwinch/relay/tests/test_suspect.py
+++ b/basilwinch/relay/tests/test_suspect.py
@@ -76,6 +76,20 @@
     assert len(fleet.engines.states) - fleet.count_alive() <= 3
 
 
+def test_ended_isolated_run_does_not_come_back_over_a_third_node(fleet):
+    """Guards against suspects that wait 10 s for an isolated run that has ended."""
+    tester, other = (fleet.add_node().suspects for _ in range(2))
+    evidence = tester._record("digest", 0.0)
+    evidence.begin_test("n0", 10.0)
+    other.absorb_bytes(tester.export(0.0), 0.0)
+    late = other.export(0.0)
+    evidence.end_test("n0")
+    other.absorb_bytes(tester.export(0.1), 0.1)
+    for registry in (tester, other):
+        registry.absorb_bytes(late, 0.1)
+        assert registry._records["digest"].tester(0.1) == ""
+
+
 def test_lost_zone_convicts_nobody(run_trio, right_tokens):
     """Guards against a zone loss that sends all requests into isolation or gets them refused."""
     fleet = Fleet(width=12)
--- a/bench/recovery_model.py
+++ b/bench/recovery_model.py
@@ -107,6 +107,7 @@
         "requests": len(fleet.times) - own,
         "cut": cut - own if own else cut,
         "wrong": wrong,
+        "total_s": [a + b for a, b in gaps if not math.isinf(b)],
         "detection_s": [detection for detection, _ in gaps],
         "recovery_s": [recovery for _, recovery in gaps if not math.isinf(recovery)],
         "servers_lost": crashed,
