--- a/basilwinch/daemon/connected.py
+++ b/basilwinch/daemon/connected.py
@@ -1,5 +1,6 @@
 """The state of a node that follows the platform and its peers."""
 
+import math
 import random
 import time
 from functools import partial
@@ -7,24 +8,35 @@
 import trio
 
 from basilwinch.daemon.core import NodeCore
-from basilwinch.exception import INVALID_SETTING, ConfigurationError, Failure, ProtocolError
+from basilwinch.exception import (
+    INVALID_SETTING,
+    MALFORMED_PACKET,
+    ConfigurationError,
+    Failure,
+    ProtocolError,
+)
 from basilwinch.membership import Keyring, Membership, MembershipConfig, UdpTransport
 from basilwinch.platform import KeyValue, KeyValueStore, WatchEvent
 from basilwinch.relay import SuspectRegistry
 from basilwinch.release import Follower, FollowerConfig, Replica
 from basilwinch.release.layout import HEAD, Head
+from basilwinch.routing import ChainRouter
 from basilwinch.settings import Settings
 
 __all__ = [
     "PlatformSource",
     "SuspectExchange",
     "build_membership",
-    "connect_suspects",
+    "connect_exchanges",
     "follow_members",
 ]
 
 MEMBERS_EVERY_S = 1.0
 MOST_ENTRIES = 8
+NEWS_S = 5.0
+QUIET_MESSAGES = 16
+# Gossip reaches all nodes well within this time; later the catalog or the VM list tells.
+LEAVING_NEWS_S = 20.0
 
 
 class SuspectExchange:
@@ -33,18 +45,34 @@
     :param suspects: registry of this node
     """
 
-    __slots__ = ("_suspects",)
+    __slots__ = ("_suspects", "_known", "_changed_at", "_skipped")
 
     kind = 1
-    # An entry takes about 150 bytes. There are none on most days; after a crash three peers must
-    # get it at once, because the caller may send the request again within a second.
-    bytes_per_s = 800.0
+    # An entry takes about 150 bytes. There are none on most days. After a crash three peers must
+    # get it at once, and again after the second crash half a second later, because the caller may
+    # send the request again right after the answer; 800 bytes/s let the second one wait.
+    bytes_per_s = 2400.0
 
     def __init__(self, suspects: SuspectRegistry):
         self._suspects = suspects
+        self._known: set = set()
+        self._changed_at = -math.inf
+        self._skipped = 0
 
     def export(self, limit: int, now: float) -> bytes:
-        """Return the newest suspects that fit into ``limit`` bytes. Linear in their number."""
+        """Return the newest suspects that fit into ``limit`` bytes. Linear in their number.
+
+        Suspects without news go into one message of ``QUIET_MESSAGES``: they are there for nodes
+        that start later.
+        """
+        known = _list_strikes(self._suspects.suspects(now))
+        if known != self._known:
+            self._known = known
+            self._changed_at = now
+        if now - self._changed_at > NEWS_S:
+            self._skipped = (self._skipped + 1) % QUIET_MESSAGES
+            if self._skipped:
+                return b""
         data = b""
         for count in range(1, MOST_ENTRIES + 1):
             longer = self._suspects.export(now, count)
@@ -66,10 +94,65 @@
 def _list_strikes(entries) -> set:
     """Return what decides about suspects, without the times, which differ between nodes."""
     return {
-        (entry.digest, entry.tester, strike.id, strike.id in entry.cleared)
+        (entry.digest, strike.id, strike.id in entry.cleared)
         for entry in entries
         for strike in entry.strikes
-    }
+    } | {(entry.digest, test[0], test[1], test[2] > 0) for entry in entries for test in entry.tests}
+
+
+class LeavingExchange:
+    """Tells the other nodes which servers refuse new requests because they leave.
+
+    Each node would otherwise learn it by a request of its own, which the server must not get.
+
+    :param router: router of this node
+    """
+
+    __slots__ = ("_router", "_noted")
+
+    kind = 3
+    # A name takes about 20 bytes and is sent for ``LEAVING_NEWS_S`` only.
+    bytes_per_s = 600.0
+
+    def __init__(self, router: ChainRouter):
+        self._router = router
+        #: Time at which this node learnt of each leaving server.
+        self._noted: dict[str, float] = {}
+
+    def refresh(self, now: float) -> bool:
+        """Take over what the router knows; returns whether a server was added."""
+        leaving = set(self._router.leaving())
+        self._noted = {name: at for name, at in self._noted.items() if name in leaving}
+        added = leaving - self._noted.keys()
+        for name in added:
+            self._noted[name] = now
+        return bool(added)
+
+    def export(self, limit: int, now: float) -> bytes:
+        """Return as many names as fit, the newest first."""
+        self.refresh(now)
+        data = b""
+        for name, at in sorted(self._noted.items(), key=lambda item: -item[1]):
+            row = f"{now - at:.1f} {name}\n".encode()
+            if now - at > LEAVING_NEWS_S or len(data) + len(row) > limit:
+                break
+            data += row
+        return data
+
+    def absorb(self, node: str, data: bytes, now: float) -> bool | Failure:
+        """Take servers out of use that another node knows to leave."""
+        try:
+            rows = [row.split(" ", 1) for row in data.decode().splitlines()]
+            ages = {name: float(age) for age, name in rows}
+        except ValueError as error:
+            return MALFORMED_PACKET.because(f"leaving servers: {error}")
+        news = False
+        for name, age_s in ages.items():
+            if name not in self._noted and 0 <= age_s <= LEAVING_NEWS_S:
+                self._router.mark_leaving(name, now)
+                self._noted[name] = now - age_s
+                news = True
+        return news
 
 
 class PlatformSource:
@@ -141,18 +224,26 @@
     membership = Membership.from_config(
         config, transport, core.replica, rng, core.log, source=source
     )
-    connect_suspects(core.suspects, membership)
+    connect_exchanges(core, membership)
     return membership
 
 
-def connect_suspects(suspects: SuspectRegistry, membership: Membership) -> None:
-    """Let suspects travel between nodes, and new ones at once.
+def connect_exchanges(core: NodeCore, membership: Membership) -> None:
+    """Let suspects and leaving servers travel between nodes, and news at once.
 
-    :param suspects: registry of this node
+    :param core: decision parts of this node
     :param membership: membership of this node
     """
-    membership.add_exchange(SuspectExchange(suspects))
-    suspects.on_change = partial(membership.hasten, SuspectExchange.kind)
+    membership.add_exchange(SuspectExchange(core.suspects))
+    core.suspects.on_change = partial(membership.hasten, SuspectExchange.kind)
+    leaving = LeavingExchange(core.router)
+    membership.add_exchange(leaving)
+    core.watch_leaving = partial(_hasten_leaving, leaving, membership)
+
+
+def _hasten_leaving(leaving: LeavingExchange, membership: Membership) -> None:
+    if leaving.refresh(trio.current_time()):
+        membership.hasten(leaving.kind)
 
 
 def _read_keyring(settings: Settings) -> Keyring:
--- a/basilwinch/daemon/core.py
+++ b/basilwinch/daemon/core.py
@@ -79,6 +79,7 @@
         "_applied",
         "_holdings",
         "find_unsynced",
+        "watch_leaving",
         "_structlog",
     )
 
@@ -112,6 +113,8 @@
         self.catalog = Catalog()
         self.placements: dict[str, Placement] = {}
         self.nodes = 1
+        #: Called in each round, to pass on newly leaving servers.
+        self.watch_leaving: Callable[[], None] = lambda: None
         #: Returns a ``Failure`` while the node may hold an old state, else None.
         self.find_unsynced: Callable[[], Failure | None] = lambda: None
         self._applied: tuple | None = None
@@ -181,4 +184,5 @@
         while True:
             if self._applied != (self.replica.revision, self.nodes):
                 self.apply()
+            self.watch_leaving()
             await trio.sleep(APPLY_EVERY_S)
--- a/basilwinch/scenario/fleet.py
+++ b/basilwinch/scenario/fleet.py
@@ -8,7 +8,7 @@
 from basilwinch.catalog import Catalog
 from basilwinch.daemon.connected import (
     PlatformSource,
-    connect_suspects,
+    connect_exchanges,
     follow_members,
 )
 from basilwinch.daemon.core import CoreConfig, NodeCore, Outside
@@ -198,7 +198,7 @@
             core.log,
             source=PlatformSource.from_config(store, core, rng),
         )
-        connect_suspects(core.suspects, membership)
+        connect_exchanges(core, membership)
         core.find_unsynced = lambda: _unready(membership)
         vm = self.vms[name] = Vm(name, address, core, membership, store)
         self.nursery.start_soon(self._run_vm, vm)
