--- a/basilwinch/daemon/connected.py
+++ b/basilwinch/daemon/connected.py
@@ -65,10 +65,7 @@
         Suspects without news go into one message of ``QUIET_MESSAGES``: they are there for nodes
         that start later.
         """
-        known = _list_strikes(self._suspects.suspects(now))
-        if known != self._known:
-            self._known = known
-            self._changed_at = now
+        self.refresh(now)
         if now - self._changed_at > NEWS_S:
             self._skipped = (self._skipped + 1) % QUIET_MESSAGES
             if self._skipped:
@@ -83,16 +80,28 @@
 
     def absorb(self, node: str, data: bytes, now: float) -> bool | Failure:
         """Take in the suspects of another node; returns whether there is news in them."""
-        before = _list_strikes(self._suspects.suspects(now))
         try:
             self._suspects.absorb_bytes(data, now)
         except ProtocolError as error:
             return error.failure
-        return _list_strikes(self._suspects.suspects(now)) != before
+        return self.refresh(now)
+
+    def refresh(self, now: float) -> bool:
+        """Take over what the registry knows; returns whether there is news in it."""
+        known = _list_strikes(self._suspects.suspects(now))
+        if known == self._known:
+            return False
+        self._known = known
+        self._changed_at = now
+        return True
 
 
 def _list_strikes(entries) -> set:
-    """Return what decides about suspects, without the times, which differ between nodes."""
+    """Return what decides about likely suspects, without the times, which differ between nodes.
+
+    Requests that only stood beside a likely cause are no news; they travel with other messages.
+    """
+    entries = [entry for entry in entries if any(strike.strong for strike in entry.strikes)]
     return {
         (entry.digest, strike.id, strike.id in entry.cleared)
         for entry in entries
@@ -234,13 +243,19 @@
     :param core: decision parts of this node
     :param membership: membership of this node
     """
-    membership.add_exchange(SuspectExchange(core.suspects))
-    core.suspects.on_change = partial(membership.hasten, SuspectExchange.kind)
+    suspects = SuspectExchange(core.suspects)
+    membership.add_exchange(suspects)
+    core.suspects.on_change = partial(_hasten_suspects, suspects, membership)
     leaving = LeavingExchange(core.router)
     membership.add_exchange(leaving)
     core.watch_leaving = partial(_hasten_leaving, leaving, membership)
 
 
+def _hasten_suspects(suspects: SuspectExchange, membership: Membership) -> None:
+    if suspects.refresh(trio.current_time()):
+        membership.hasten(suspects.kind)
+
+
 def _hasten_leaving(leaving: LeavingExchange, membership: Membership) -> None:
     if leaving.refresh(trio.current_time()):
         membership.hasten(leaving.kind)
--- a/basilwinch/membership/membership.py
+++ b/basilwinch/membership/membership.py
@@ -44,6 +44,7 @@
 _SEED_PERIODS = 10
 _EXPIRE_PERIODS = 60
 _DROP_LOG_S = 10.0
+_COALESCE_S = 0.02
 # Shortest time between two fetches of the whole state after changes that did not fit.
 _WHOLE_S = 5.0
 
@@ -104,6 +105,7 @@
                 log,
             )
         self._nursery = None
+        self._hastening = False
         self._whole_at = -_WHOLE_S
         self._order: list[int] = []
         self._choice = (-1, False)
@@ -181,8 +183,22 @@
     def hasten(self, kind: int) -> None:
         """Send the payload of an exchange to a few peers at once."""
         self.outbox.exchanges.urgent.add(kind)
-        if self._nursery:
-            self._nursery.start_soon(self._send_urgent)
+        self._hasten()
+
+    def _hasten(self) -> None:
+        """Send urgent payloads after a moment, so that news of one event shares its messages.
+
+        A crashed batch makes a dozen changes within milliseconds; a message for each of them used
+        up the byte budget before the last, decisive one.
+        """
+        if self._nursery and self.outbox.exchanges.urgent and not self._hastening:
+            self._hastening = True
+            self._nursery.start_soon(self._send_urgent_soon)
+
+    async def _send_urgent_soon(self) -> None:
+        await trio.sleep(_COALESCE_S)
+        self._hastening = False
+        await self._send_urgent()
 
     async def run(self) -> None:
         """Take part until cancelled."""
@@ -344,7 +360,7 @@
             failures = self.outbox.exchanges.absorb(entry.name, message.payloads, now)
             for failure in failures:
                 self.drop(failure)
-            await self._send_urgent()
+            self._hasten()
         await self._answer(address, packet, message, entry)
 
     async def _answer(self, address: str, packet: Packet, message: Message, entry: Entry) -> None:
--- a/basilwinch/membership/outbox.py
+++ b/basilwinch/membership/outbox.py
@@ -122,7 +122,7 @@
             message.delta, message.large = self._spread.delta(held, room)
             if entry:
                 entry.sent_revision, entry.sent_at = self._spread.revision, now
-        if entry and self.budget.level(now) > _PAYLOAD_LEVEL:
+        if entry and (urgent or self.budget.level(now) > _PAYLOAD_LEVEL):
             message.payloads = self.exchanges.export(room - len(message.delta), now, urgent, shares)
         packet = self.seal(encode_body(message), life)
         self.spend("sent", len(packet) + DATAGRAM_OVERHEAD)
