--- a/bench/control.py
+++ b/bench/control.py
@@ -12,7 +12,9 @@
 import trio
 import trio.testing
 
+from basilwinch.observability import configure_logs
 from bench.control_cluster import Observer, Operator, make_cluster
+from bench.control_lease import run_lease
 
 __all__ = ["main"]
 
@@ -163,11 +165,12 @@
 def _run(job: tuple) -> dict:
     """Run one job in a process of its own."""
     function, *arguments = job
+    configure_logs(level="critical")
     clock = trio.testing.MockClock(autojump_threshold=0)
     return trio.run(function, *arguments, clock=clock)
 
 
-def _check(faults: list[dict], scale: dict[int, list[dict]]) -> list[str]:
+def _check(faults: list[dict], scale: dict[int, list[dict]], leases: list[dict]) -> list[str]:
     """Return the targets that were missed."""
     missed = []
 
@@ -180,6 +183,12 @@
         at_most(f"{name}: spread_s", result["spread_s"], TARGETS["spread_today_s"])
         for key in ("reverts", "lost", "half_applied"):
             at_most(f"{name}: {key}", result[key], 0)
+    for result in leases:
+        for kind in ("checking", "ignoring"):
+            name = f"lease, servers {kind} the token, seed {result['seed']}"
+            at_most(f"{name}: stale orders", result[f"{kind}_stale"], 0)
+            if not result[f"{kind}_applied"]:
+                missed.append(f"{name}: no order was applied")
     for size, results in scale.items():
         for result in results:
             name = f"{size} nodes, seed {result['seed']}"
@@ -213,6 +222,8 @@
                 f"{r['seed']:>5} {r['accepted']:>6} {r['spread_s']:>9.2f} {r['raw_s']:>7.2f} "
                 f"{r['reverts']:>7} {r['lost']:>4} {r['half_applied']:>4}"
             )
+    if not scale:
+        return
     print("53,000 changes a day (worst seed; calls and cpu: mean)")
     print("nodes  spread s  bytes/s mean  bytes/s max  calls/s  watches   cpu %  memory MB")
     for size, results in scale.items():
@@ -224,6 +235,19 @@
         )
 
 
+def _print_leases(leases: list[dict]) -> None:
+    if not leases:
+        return
+    print("paused lease holder, orders over all seeds")
+    print("servers           applied  refused  stale")
+    for kind in ("checking", "ignoring"):
+        counts = [
+            sum(r[f"{kind}_{key}"] for r in leases) for key in ("applied", "refused", "stale")
+        ]
+        print(f"{kind + ' the token':<16} {counts[0]:>8} {counts[1]:>8} {counts[2]:>6}")
+    print(f"pauses {sum(r['pauses'] for r in leases)}")
+
+
 def main(arguments: list[str] | None = None) -> int:
     """Run the benchmark.
 
@@ -234,10 +258,16 @@
     parser.add_argument("--sizes", default="9,30,100,490")
     parser.add_argument("--seconds", type=float, default=60.0, help="virtual time of each run")
     parser.add_argument("--processes", type=int, default=4)
+    parser.add_argument("--parts", default="faults,lease,scale")
     options = parser.parse_args(arguments)
-    sizes = [int(size) for size in options.sizes.split(",")]
+    parts = options.parts.split(",")
+    sizes = [int(size) for size in options.sizes.split(",")] if "scale" in parts else []
     seeds = range(1, options.seeds + 1)
-    jobs = [(_run_faults, seed, 2 * options.seconds) for seed in seeds]
+    jobs = []
+    if "faults" in parts:
+        jobs += [(_run_faults, seed, 2 * options.seconds) for seed in seeds]
+    if "lease" in parts:
+        jobs += [(run_lease, seed, 10 * options.seconds) for seed in seeds]
     for size in sorted(sizes, reverse=True):
         jobs += [(_run_scale, seed, size, options.seconds) for seed in seeds]
     context = multiprocessing.get_context("spawn")
@@ -246,25 +276,31 @@
         results = pool.map(_run, jobs, chunksize=1)
     faults = [result for result in results if "lost" in result]
     scale = {size: [r for r in results if r.get("nodes") == size] for size in sizes}
+    leases = [result for result in results if "pauses" in result]
     _print_table(faults, scale)
-    missed = _check(faults, scale)
+    _print_leases(leases)
+    missed = _check(faults, scale, leases)
     for line in missed:
         print(f"missed: {line}")
-    largest = scale[max(sizes)]
-    summary = {
-        "config_spread_max_s": round(_worst(faults, "spread_s"), 3),
-        "config_spread_max_s_at_size": round(_worst(largest, "spread_s"), 3),
-        "control_bytes_per_node_s": round(_worst(largest, "bytes_max"), 1),
-        "platform_calls_per_s": round(_mean(largest, "calls_per_s"), 3),
-        "cpu_share_per_node": round(_mean(largest, "cpu"), 5),
-        "memory_mb_per_node": round(_worst(largest, "memory_mb"), 1),
-        "reverts": sum(r["reverts"] for r in results),
-        "lost": sum(r["lost"] for r in faults),
-        "half_applied": sum(r["half_applied"] for r in results),
-        "nodes": max(sizes),
-        "seeds": options.seeds,
-        "missed": len(missed),
-    }
+    summary = {"seeds": options.seeds, "missed": len(missed)}
+    if faults:
+        summary["config_spread_max_s"] = round(_worst(faults, "spread_s"), 3)
+        summary["lost"] = sum(result["lost"] for result in faults)
+    if leases:
+        stale = [result[f"{kind}_stale"] for result in leases for kind in ("checking", "ignoring")]
+        summary["stale_orders"] = sum(stale)
+    if scale:
+        largest = scale[max(sizes)]
+        summary |= {
+            "nodes": max(sizes),
+            "config_spread_max_s_at_size": round(_worst(largest, "spread_s"), 3),
+            "control_bytes_per_node_s": round(_worst(largest, "bytes_max"), 1),
+            "platform_calls_per_s": round(_mean(largest, "calls_per_s"), 3),
+            "cpu_share_per_node": round(_mean(largest, "cpu"), 5),
+            "memory_mb_per_node": round(_worst(largest, "memory_mb"), 1),
+        }
+    for key in ("reverts", "half_applied"):
+        summary[key] = sum(result.get(key, 0) for result in results)
     print(json.dumps(summary))
     return 1 if missed else 0
 
