Calibrate the stages' delay before links are learnt; count prompts at their true cost

Change: the factor between measured and expected stage delay follows the median; links are pulled towards the usual delay of near and far links; the home of a prefix counts its link.

--- a/basilwinch/routing/estimate.py
+++ b/basilwinch/routing/estimate.py
@@ -10,10 +10,11 @@
 _REPORT_S = 1.0
 _SLOW_WEIGHT = 0.3
 _LINK_WEIGHT = 0.3
-# Relative step of the usual delay between two zones. Steps of equal size follow the median, which
-# one degraded link does not move.
-_ZONE_STEP = 0.01
-_LEAST_DELAY_S = 1e-5
+_LINK_PULL = 0.01
+_FACTOR_STEP = 0.003
+# Delay of a link inside a zone and between zones until traffic shows another.
+_NEAR_S = 0.0002
+_FAR_S = 0.001
 # Part of a full step that does not depend on the number of sequences, and the part of it that a
 # sequence waits for the step in progress. Both only shape the delay of a lightly loaded server.
 _FIXED_PART = 0.3
@@ -159,6 +160,10 @@
             load = 0.0
         return (self._idle + load) * self.layer_s * self.server.slowness
 
+    def reported_delay(self) -> float:
+        """Return the expected seconds of one token by the reports alone."""
+        return (self._idle + self.server.reported) * self.layer_s * self.server.slowness
+
 
 class LinkEstimate:
     """Delay of one link; ``zones`` are the zones of its ends."""
@@ -179,38 +184,33 @@
     not to blame is corrected by the other chains that use it.
 
     :param limit: links kept at most; the oldest goes first
-    :param half_life_s: time after which half of a link's excess over its zones' median
-        is forgotten
+    :param half_life_s: time after which half of a link's difference from the usual delay is
+        forgotten
     """
 
-    __slots__ = ("_links", "_zones", "_limit", "_half_life_s")
+    __slots__ = ("_links", "_limit", "_half_life_s", "stage_factor")
 
     def __init__(self, limit: int, half_life_s: float):
         self._links = {}
-        self._zones = {}
+        #: Measured over expected delay of the stages. It follows the median, so that a degraded
+        #: link does not move it, and leaves only the differences between chains to the links.
+        self.stage_factor = 1.0
         self._limit = limit
         self._half_life_s = half_life_s
 
     def __len__(self):
         return len(self._links)
 
-    def prior(self, zones: tuple[str, str]) -> float:
-        """Return the usual (median) delay of links between two zones, in seconds."""
-        delay = self._zones.get(zones)
-        if delay is None:
-            delay = self._zones[zones] = 0.0002 if zones[0] == zones[1] else 0.001
-        return delay
-
     def delay(self, source: ServerEstimate, target: ServerEstimate, now: float) -> float:
         """Return the expected delay of a link in seconds."""
         link = self._links.get((source.name, target.name))
         if link is None:
-            return self.prior((source.zone, target.zone))
+            return _usual_delay((source.zone, target.zone))
         age = now - link.seen_at
         if age < 1.0:
             return link.delay_s
-        prior = self.prior(link.zones)
-        return prior + (link.delay_s - prior) * 0.5 ** (age / self._half_life_s)
+        usual = _usual_delay(link.zones)
+        return usual + (link.delay_s - usual) * 0.5 ** (age / self._half_life_s)
 
     def find(self, source: ServerEstimate, target: ServerEstimate, now: float) -> LinkEstimate:
         """Return the estimate of a link, made if there is none."""
@@ -218,7 +218,7 @@
         link = self._links.get(key)
         if link is None:
             zones = (source.zone, target.zone)
-            link = self._links[key] = LinkEstimate(self.prior(zones), zones)
+            link = self._links[key] = LinkEstimate(_usual_delay(zones), zones)
             if len(self._links) > self._limit:
                 del self._links[next(iter(self._links))]
         else:
@@ -226,16 +226,25 @@
         link.seen_at = now
         return link
 
-    def learn(self, links, unexplained_s: float, now: float) -> None:
-        """Correct the links of a chain.
+    def learn(self, links, gap_s: float, stages_s: float, now: float) -> None:
+        """Correct the links of a chain by a measured gap.
 
-        :param unexplained_s: measured gap less the delay of the stages, seconds
+        :param gap_s: average gap between tokens, seconds
+        :param stages_s: what the stages are expected to take of it, seconds
         """
-        error = unexplained_s - sum(link.delay_s for link in links)
+        usual = sum(_usual_delay(link.zones) for link in links)
+        too_low = gap_s - usual > self.stage_factor * stages_s
+        self.stage_factor *= 1 + _FACTOR_STEP if too_low else 1 - _FACTOR_STEP
+        error = gap_s - self.stage_factor * stages_s - sum(link.delay_s for link in links)
         step = _LINK_WEIGHT * error / len(links)
         for link in links:
-            link.delay_s = max(0.0, link.delay_s + step)
+            # The pull towards the usual delay keeps the links from taking over what belongs to the
+            # stages.
+            pull = (_usual_delay(link.zones) - link.delay_s) * _LINK_PULL
+            link.delay_s = max(0.0, link.delay_s + step + pull)
             link.seen_at = now
-            prior = self.prior(link.zones)
-            factor = 1 + _ZONE_STEP if link.delay_s > prior else 1 - _ZONE_STEP
-            self._zones[link.zones] = max(_LEAST_DELAY_S, prior * factor)
+
+
+def _usual_delay(zones: tuple[str, str]) -> float:
+    """Return the delay in seconds that a link between two zones has until traffic shows another."""
+    return _NEAR_S if zones[0] == zones[1] else _FAR_S
--- a/basilwinch/routing/path.py
+++ b/basilwinch/routing/path.py
@@ -71,10 +71,10 @@
         """Correct the links of a choice by the average gap between its tokens."""
         if not choice.links:
             return
-        explained = 0.0
+        stages_s = 0.0
         for stage in choice.stages:
-            explained += stage.delay()
-        self._links.learn(choice.links, gap_s - explained, now)
+            stages_s += stage.reported_delay()
+        self._links.learn(choice.links, gap_s, stages_s, now)
         total = sum(link.delay_s for link in choice.links)
         self.links_s += (total - self.links_s) * _LINKS_WEIGHT
 
@@ -82,7 +82,8 @@
         total = 0.0
         previous = path[-1].server
         for stage in path:
-            total += stage.delay() + self._links.delay(previous, stage.server, now)
+            total += stage.delay() * self._links.stage_factor
+            total += self._links.delay(previous, stage.server, now)
             previous = stage.server
         return total
 
@@ -100,7 +101,7 @@
         digest = crc32(request.cache_key.encode()) if request.cache_key else None
         path = []
         reason = "load"
-        token_s = 0.0
+        token_s = links_s = 0.0
         previous = first = None
         at = 0
         while at < layers:
@@ -108,7 +109,7 @@
             if boundary is None:
                 return None
             best = None
-            best_cost = best_delay = 0.0
+            best_cost = best_delay = best_local = 0.0
             for _ in samples:
                 stage = boundary.stages[
                     bisect_left(boundary.weights, random_float() * boundary.total)
@@ -116,24 +117,26 @@
                 server = stage.server
                 if stage is best or server.isolated or server.name in avoid:
                     continue
-                cost = delay = stage.delay()
+                local = delay = stage.delay()
                 if previous is not None:
-                    cost += link_delay(previous, server, now)
+                    local += link_delay(previous, server, now)
+                    if stage.end == layers:
+                        local += link_delay(server, first, now)
+                cost = local
                 if stage.end < layers:
                     cost += boundaries[stage.end].remaining_s
-                elif first is not None:
-                    cost += link_delay(server, first, now)
                 if best is None or cost < best_cost:
-                    best, best_cost, best_delay = stage, cost, delay
+                    best, best_cost, best_delay, best_local = stage, cost, delay, local
             if best is None:
                 best = self._any(boundary, avoid)
                 if best is None:
                     return None
-                best_delay = best.delay()
+                best_delay = best_local = best.delay()
             else:
                 boundary.remaining_s += (best_cost - boundary.remaining_s) * _REMAINING_WEIGHT
             if digest is not None:
-                home = self._home(boundary, digest, best, best_delay, avoid)
+                limit = best_local * self._config.affinity_load
+                home = self._home(boundary.homes(digest), best, limit, previous, avoid, now)
                 if home is not None:
                     best, reason = home, "affinity"
             path.append(best)
@@ -142,22 +145,29 @@
             if previous is None:
                 first = server
             else:
-                token_s += link_delay(previous, server, now)
+                links_s += link_delay(previous, server, now)
             previous = server
             at = best.end
+        token_s = token_s * self._links.stage_factor + links_s
         return path, token_s + link_delay(previous, first, now), reason
 
-    def _home(self, boundary, digest: int, best: StageEstimate, best_delay: float, avoid):
+    def _home(self, homes, best: StageEstimate, limit: float, previous, avoid, now: float):
         """Return the stage where the prefix is likely cached, or None if it has too much load.
 
+        :param limit: seconds that the stage and the link to it may take at most
+
         Notes: consistent hashing with bounded loads (Mirrokni, Thorup and Zadimoghaddam 2018).
         """
-        limit = best_delay * self._config.affinity_load
-        for stage in boundary.homes(digest):
+        for stage in homes:
             server = stage.server
             if server.isolated or server.name in avoid:
                 continue
-            if stage is best or stage.delay() <= limit:
+            if stage is best:
+                return stage
+            local = stage.delay()
+            if previous is not None:
+                local += self._links.delay(previous, server, now)
+            if local <= limit:
                 return stage
         return None
 
--- a/basilwinch/routing/request.py
+++ b/basilwinch/routing/request.py
@@ -60,7 +60,7 @@
         "samples": 2,
         "own_weight": 9.0,
         "max_batch": 8,
-        "occupancy": 1.9,
+        "occupancy": 1.7,
         "affinity_load": 1.2,
         "slow_factor": 2.5,
         "restore_factor": 1.6,
--- a/bench/drive.py
+++ b/bench/drive.py
@@ -5,7 +5,7 @@
 from basilwinch.routing import RouteRequest
 from basilwinch.server import EngineCall
 from basilwinch.standin.token import count_prompt_tokens
-from bench.fleet import SETTINGS
+from bench.fleet import prompt_work
 
 __all__ = ["Meter", "Node", "Stream"]
 
@@ -17,8 +17,8 @@
     """Counts what the streams of all nodes deliver between two times.
 
     The work of a response is what engines with a perfect prefix cache would spend on it: one unit
-    for each token after the first one, and ``prefill_share`` for each prompt token that no other
-    request shares. So a bound in units a second does not depend on the policy.
+    for each token after the first one, and :func:`~bench.fleet.prompt_work` for the prompt. So a
+    bound in units a second does not depend on the policy.
 
     :param start: start of the measured time
     :param end: end of the measured time
@@ -132,8 +132,7 @@
         self._end(failure, now)
 
     def _prompt_work(self):
-        shared = SETTINGS.prefix_share if self.sequence.call.cache_key else 0.0
-        return SETTINGS.prefill_share * self.sequence.known_tokens * (1 - shared)
+        return prompt_work(self.sequence.known_tokens, self.sequence.call.cache_key)
 
     def _end(self, failure, now):
         self.failure = failure
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -17,6 +17,7 @@
     "equal_split",
     "make_catalog",
     "make_network",
+    "prompt_work",
 ]
 
 #: Zones of deployment 1, and of a fleet of the design size: 11 zones in 4 regions.
@@ -92,6 +93,17 @@
     return {MODEL.name: Placement(MODEL.name, "", stages)}
 
 
+def prompt_work(prompt_tokens: int, cache_key: str) -> float:
+    """Return what an engine spends on a prompt with a perfect prefix cache.
+
+    The unit is one token in a full batch. A prompt takes a place in one batch, with its part of the
+    fixed cost, and ``prefill_share`` of the other cost for each token that is not cached.
+    """
+    fixed = SETTINGS.fixed_share
+    cached = SETTINGS.prefix_share if cache_key else 0.0
+    return fixed + (1 - fixed) * SETTINGS.prefill_share * prompt_tokens * (1 - cached)
+
+
 class Work:
     """Draws prompts, lengths and cache keys.
 
@@ -125,9 +137,7 @@
         total = 0.0
         for _ in range(2_000):
             _, prompt, tokens, key = self.draw()
-            shared = SETTINGS.prefix_share if key else 0.0
-            prompt_tokens = len(prompt) // 4
-            total += tokens - 1 + SETTINGS.prefill_share * prompt_tokens * (1 - shared)
+            total += tokens - 1 + prompt_work(len(prompt) // 4, key)
         self._rng.setstate(rng_state)
         self._count = count
         return total / 2_000
