--- a/basilwinch/routing/estimate.py
+++ b/basilwinch/routing/estimate.py
@@ -205,7 +205,7 @@
         """Return the expected delay of a link in seconds."""
         link = self._links.get((source.name, target.name))
         if link is None:
-            return _usual_delay((source.zone, target.zone))
+            return _NEAR_S if source.zone == target.zone else _FAR_S
         age = now - link.seen_at
         if age < 1.0:
             return link.delay_s
--- a/basilwinch/routing/path.py
+++ b/basilwinch/routing/path.py
@@ -120,11 +120,11 @@
                 local = delay = stage.delay()
                 if previous is not None:
                     local += link_delay(previous, server, now)
-                    if stage.end == layers:
-                        local += link_delay(server, first, now)
                 cost = local
                 if stage.end < layers:
                     cost += boundaries[stage.end].remaining_s
+                elif first is not None:
+                    cost += link_delay(server, first, now)
                 if best is None or cost < best_cost:
                     best, best_cost, best_delay, best_local = stage, cost, delay, local
             if best is None:
@@ -138,15 +138,18 @@
                 limit = best_local * self._config.affinity_load
                 home = self._home(boundary.homes(digest), best, limit, previous, avoid, now)
                 if home is not None:
-                    best, reason = home, "affinity"
+                    reason = "affinity"
+                    if home is not best:
+                        best, best_delay = home, home.delay()
+                        best_local = best_delay
+                        if previous is not None:
+                            best_local += link_delay(previous, home.server, now)
             path.append(best)
             token_s += best_delay
-            server = best.server
-            if previous is None:
-                first = server
-            else:
-                links_s += link_delay(previous, server, now)
-            previous = server
+            links_s += best_local - best_delay
+            previous = best.server
+            if first is None:
+                first = previous
             at = best.end
         token_s = token_s * self._links.stage_factor + links_s
         return path, token_s + link_delay(previous, first, now), reason
