--- a/basilwinch/admission/bucket.py
+++ b/basilwinch/admission/bucket.py
@@ -5,7 +5,10 @@
 __all__ = ["SharedBucket"]
 
 # Above this part of the fleet-wide level a node grants freely; below, only from its own share.
-FREE_ABOVE = 0.5
+FREE_ABOVE = 0.35
+# Above this multiple of the limit in known demand no node grants freely: all nodes would do so at
+# once and see it only in the next reports, which makes the granted rate swing.
+FREE_DEMAND = 1.5
 # A node repays, or uses up, the distance of the level from its target by this part of its share.
 REPAY = 0.5
 
@@ -40,8 +43,9 @@
         "level",
         "local",
         "at",
-        "granted",
         "wanted",
+        "granted_since",
+        "wanted_since",
         "others_granted",
         "others_wanted",
         "others_until",
@@ -62,10 +66,11 @@
         self.most_debt = most_debt
         # A node that sees only a part of the fleet starts with that part of the burst.
         self.level = burst * coverage
-        self.local = min(1.0, burst)
+        self.local = max(1.0, burst * coverage)
         self.at = now
-        self.granted = 0.0
         self.wanted = 0.0
+        self.granted_since = 0.0
+        self.wanted_since = 0.0
         self.others_granted = 0.0
         self.others_wanted = 0.0
         self.others_until = -math.inf
@@ -97,13 +102,12 @@
         self.local = min(cap, self.local + elapsed * fill)
         self.level += elapsed * (limit - self.others_granted)
         self.level = max(-self.most_debt, min(burst, self.level))
-        decay = math.exp(-elapsed / self.window)
-        self.granted *= decay
-        self.wanted *= decay
+        self.wanted *= math.exp(-elapsed / self.window)
 
     def want(self, amount: float) -> None:
         """Count demand, whether it is granted or not."""
         self.wanted += amount / self.window
+        self.wanted_since += amount
 
     def wait(self, amount: float, coverage: float) -> float:
         """Return 0 if an amount may be granted now, else the seconds until it may be.
@@ -111,7 +115,11 @@
         An amount above the burst is granted from a full bucket, or it would never be.
         """
         need = min(amount, max(1.0, self.burst * coverage))
-        if self.level - need >= self.burst * coverage * FREE_ABOVE and self.level >= need:
+        crowded = self.others_wanted and (
+            self.wanted + self.others_wanted > FREE_DEMAND * self.rate * coverage
+        )
+        free = max(need, self.burst * coverage * FREE_ABOVE)
+        if not crowded and self.level >= free:
             return 0.0
         share = self.share()
         need = min(need, max(1.0, self.burst * coverage * share))
@@ -125,7 +133,19 @@
         self.local = min(self.local - amount, max(1.0, self.burst))
         self.local = max(self.local, -self.most_debt)
         self.level = max(-self.most_debt, min(self.burst, self.level - amount))
-        self.granted = max(0.0, self.granted + amount / self.window)
+        self.granted_since += amount
+
+    def count(self, seconds: float) -> tuple[float, float]:
+        """Return the granted and wanted units a second since the last call."""
+        rates = max(0.0, self.granted_since) / seconds, self.wanted_since / seconds
+        # What was given back beyond the grants of this interval is taken off the next one.
+        self.granted_since = min(0.0, self.granted_since)
+        self.wanted_since = 0.0
+        return rates
+
+    def correct(self, amount: float) -> None:
+        """Correct the level for grants of other nodes that differ from the assumed ones."""
+        self.level = max(-self.most_debt, min(self.burst, self.level + amount))
 
     def set_others(self, granted: float, wanted: float, until: float) -> None:
         """Take in the rates of the other nodes, valid until a time."""
--- a/basilwinch/exception.py
+++ b/basilwinch/exception.py
@@ -240,11 +240,20 @@
 )
 NOT_IN_EFFECT = FailureKind("not_in_effect", 504, "Not every node holds the revision yet.", True)
 
+# Placement.
+TARGETS_CHANGED = FailureKind(
+    "targets_changed", 409, "Another holder changed the placement targets.", True
+)
+
+# Usage reports.
+MALFORMED_USAGE = FailureKind("malformed_usage", 400, "A usage report cannot be read.")
+
 # Settings.
 INVALID_SETTING = FailureKind("invalid_setting", 400, "A setting is not valid.")
 
 # Scenarios.
 SCENARIO_MALFORMED = FailureKind("scenario_malformed", 400, "The scenario cannot be read.")
+EXPECTATION_FAILED = FailureKind("expectation_failed", 500, "The scenario expected otherwise.")
 # Messages between nodes.
 MALFORMED_PACKET = FailureKind("malformed_packet", 400, "A packet cannot be decoded.")
 OVERSIZED_PACKET = FailureKind("oversized_packet", 400, "A packet is over the size limit.")
