--- a/basilwinch/relay/suspect.py
+++ b/basilwinch/relay/suspect.py
@@ -49,6 +49,7 @@
     :param mass_servers: more deaths than this within ``mass_s`` are a rack or zone loss, for which
         no request is a suspect; a single request costs at most three
     :param mass_s: window of ``mass_servers``
+    :param same_event_s: strikes closer together than this come from one event
     :param limit: suspects kept at most; the ones that expire first are dropped
     """
 
@@ -65,6 +66,7 @@
         "strong_age_s",
         "mass_servers",
         "mass_s",
+        "same_event_s",
         "limit",
     )
     _defaults = {
@@ -79,6 +81,7 @@
         "strong_age_s": 2.0,
         "mass_servers": 3,
         "mass_s": 2.0,
+        "same_event_s": 0.15,
         "limit": 2000,
     }
 
@@ -136,10 +139,16 @@
     # Exchange between nodes.
 
     def suspects(self, now: float) -> list[SuspectEntry]:
-        """Return the unexpired entries, those with the longest time left first."""
+        """Return the unexpired entries, those with the most evidence first, then the newest.
+
+        A message holds few entries. Those of innocent requests that shared a batch must not keep
+        back the one that is about to be convicted.
+        """
         self._expire(now)
-        entries = [evidence.to_entry(digest, now) for digest, evidence in self._records.items()]
-        return sorted(entries, key=lambda entry: -entry.left_s)
+        ordered = sorted(
+            self._records.items(), key=lambda item: (item[1].weight(), item[1].until), reverse=True
+        )
+        return [evidence.to_entry(digest, now) for digest, evidence in ordered]
 
     def absorb(self, entries: list[SuspectEntry], now: float) -> None:
         """Take over entries of another node."""
@@ -190,7 +199,7 @@
                 continue
             if not evidence.needs_isolation(resent=not retry) or remaining() <= 0:
                 return False
-            tested = now < evidence.tester_until or digest in self._testing.values()
+            tested = evidence.tester(now) or digest in self._testing.values()
             if not tested and len(self._testing) < config.slots:
                 if await self._claim_test(digest, request, evidence):
                     return True
@@ -206,8 +215,7 @@
         self._running[request] = _Running(digest, servers, isolated, now)
         if isolated:
             evidence = self._record(digest, now)
-            evidence.servers = tuple(servers)
-            evidence.tester_until = now + self._config.test_s
+            evidence.begin_test(self._config.node, now + self._config.test_s, tuple(servers))
             self._changed()
         else:
             self._testing.pop(request, None)
@@ -240,8 +248,10 @@
         return frozenset(
             server
             for other, evidence in self._records.items()
-            if other != digest and now < evidence.tester_until
-            for server in evidence.servers
+            if other != digest
+            for _, until, servers in evidence.tests.values()
+            if now < until
+            for server in servers
         )
 
     # Losses of servers.
@@ -321,9 +331,15 @@
         return len(recent) > self._config.mass_servers
 
     def _clear_mass(self, now: float) -> None:
-        """Clear the strikes of a rack or zone loss, so that not everything is isolated at once."""
+        """Clear the strikes of a rack or zone loss, so that not everything is isolated at once.
+
+        A request that lost servers in several attempts keeps its strikes: clearing them let one
+        request that crashed a server every 0.3 s pass for a mass loss after its fourth.
+        """
         count = 0
         for evidence in self._records.values():
+            if evidence.spans() > self._config.same_event_s:
+                continue
             for id, (_, at) in evidence.strikes.items():
                 if now - at <= self._config.mass_s and id not in evidence.cleared:
                     evidence.cleared.add(id)
@@ -350,9 +366,7 @@
 
     async def _claim_test(self, digest: str, request: str, evidence: Evidence) -> bool:
         node = self._config.node
-        evidence.tester = node
-        evidence.tester_until = trio.current_time() + self._config.test_s
-        evidence.servers = ()
+        evidence.begin_test(node, trio.current_time() + self._config.test_s)
         self._testing[request] = digest
         self._changed()
         try:
@@ -360,19 +374,18 @@
         except BaseException:
             self._end_test(digest, request)
             raise
-        if evidence.tester == node and not evidence.is_convicted():
+        if evidence.tester(trio.current_time()) == node and not evidence.is_convicted():
             self._log.record("suspect", "isolated", "suspect runs alone", request=request)
             return True
-        self._testing.pop(request, None)
+        self._end_test(digest, request)
         return False
 
     def _end_test(self, digest: str, request: str) -> None:
         if self._testing.pop(request, None) is None:
             return
         evidence = self._records.get(digest)
-        if evidence is not None and evidence.tester == self._config.node:
-            evidence.tester_until = 0.0
-            evidence.servers = ()
+        if evidence is not None and self._config.node in evidence.tests:
+            evidence.end_test(self._config.node)
             self._changed()
 
     def _record(self, digest: str, now: float) -> Evidence:
