Give a node the burst of the peers that it begins to see

A fresh node knew a ninth of a burst and kept that level after its peers' first reports, so it refused first requests of organisations that nobody had used. The level now follows the part of the fleet that is seen, in both directions, so that a flapping link creates nothing.

--- a/basilwinch/admission/bucket.py
+++ b/basilwinch/admission/bucket.py
@@ -40,6 +40,7 @@
         "burst",
         "window",
         "most_debt",
+        "coverage",
         "level",
         "local",
         "at",
@@ -64,6 +65,7 @@
         self.burst = burst
         self.window = window
         self.most_debt = most_debt
+        self.coverage = coverage
         # A node that sees only a part of the fleet starts with that part of the burst.
         self.level = burst * coverage
         self.local = max(1.0, burst * coverage)
@@ -82,6 +84,11 @@
 
     def refresh(self, coverage: float, now: float) -> None:
         """Bring levels and rates up to a time. O(1)."""
+        if coverage != self.coverage:
+            # Each node answers for its part of the burst; symmetric, so that a flapping link does
+            # not create any.
+            self.level += (coverage - self.coverage) * self.burst
+            self.coverage = coverage
         elapsed = now - self.at
         if elapsed <= 0:
             return
