--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 	touch $@
 
 run: setup
-	$(BIN)/basilwinchd --embedded
+	$(BIN)/python -m basilwinch.daemon --embedded
 
 lint: setup
 	$(BIN)/python -m black --check -q $(TREES)
@@ -29,3 +29,16 @@
 
 test: setup
 	PYTHONHASHSEED=0 $(BIN)/python -m pytest
+
+bench-control: setup
+	PYTHONHASHSEED=0 $(BIN)/python -m bench.control $(BENCH_FLAGS)
+
+bench-throughput: setup
+	PYTHONHASHSEED=0 $(BIN)/python -m bench.throughput
+
+bench-recovery: setup
+	PYTHONHASHSEED=0 $(BIN)/python -m bench.recovery
+
+SEEDS ?= 5
+soak: setup
+	PYTHONHASHSEED=0 $(BIN)/python -m bench.soak --seeds $(SEEDS)
--- a/basilwinch/placement/__init__.py
+++ b/basilwinch/placement/__init__.py
@@ -2,6 +2,7 @@
 
 from basilwinch.placement.bound import Bound, Workload, bound_of_fleet, bound_of_placements
 from basilwinch.placement.executor import Executor, ExecutorConfig
+from basilwinch.placement.holding import read_placements, render_holdings
 from basilwinch.placement.planner import Plan, Planner, PlannerConfig, changed_servers
 from basilwinch.placement.targets import TargetStore
 
@@ -17,4 +18,6 @@
     "bound_of_fleet",
     "bound_of_placements",
     "changed_servers",
+    "read_placements",
+    "render_holdings",
 ]
--- a/basilwinch/release/reinstate.py
+++ b/basilwinch/release/reinstate.py
@@ -3,11 +3,12 @@
 from basilwinch.platform import KeyValueStore
 from basilwinch.release.change import Change, combine
 from basilwinch.release.layout import Body, Head, Table
-from basilwinch.release.loader import load_head, read_history
+from basilwinch.release.loader import load_head, read_recent
 from basilwinch.release.mapping import BUCKETS
 from basilwinch.release.replica import Replica
 from basilwinch.release.schema import KINDS
-from basilwinch.release.state import Revision, State, encode_page, fields_of
+from basilwinch.release.state import TRAIL_LENGTH, Revision, State, encode_page, fields_of
+from basilwinch.release.steps import finish_in_turns
 from basilwinch.release.writer import Draft, write_draft
 
 __all__ = ["compare_states", "merge_fork", "reinstate"]
@@ -46,25 +47,27 @@
     if held.contains(head.revision):
         state, bodies = held, _missing_notes(replica, head, stored, now)
     else:
-        fork = await _read_fork(store, head, stored, held)
+        fork = await _read_fork(store, head, held)
         changes, dropped = merge_fork(held, combine(fork))
         number = max(head.revision.number, held.revision.number) + 1
         revision = Revision(number, f"merge.{rng.getrandbits(64):016x}")
-        parents = (*held.trail, *stored.trail)
-        state = held.applied(revision, changes, sorted(set(parents), key=lambda r: r.number))
-        bodies = [_join(head.revision, state, compare_states(stored, state), now, held.revision)]
-    draft = _draft(head, table, stored, state, bodies)
+        parents = _beyond(held, stored)
+        merged = held.applied(revision, changes)
+        changes = compare_states(stored, merged)
+        state = stored.applied(revision, changes, parents)
+        bodies = [_join(head.revision, state, changes, now, *parents)]
+    draft = await finish_in_turns(_draft_steps(head, table, stored, state, bodies))
     if await write_draft(store, draft, rng):
         replica.adopt(state)
     return dropped
 
 
-def _draft(head: Head, table: Table, stored: State, state: State, bodies: list[Body]) -> Draft:
-    indexes = [
-        index
-        for index in range(BUCKETS)
-        if encode_page(stored.page(index)) != encode_page(state.page(index))
-    ]
+def _draft_steps(head: Head, table: Table, stored: State, state: State, bodies: list[Body]):
+    indexes = []
+    for index in range(BUCKETS):
+        if encode_page(stored.page(index)) != encode_page(state.page(index)):
+            indexes.append(index)
+        yield
     draft = Draft(head, table, state, bodies[-1], indexes)
     for body in bodies[:-1]:
         draft.puts[:0] = body.encode()
@@ -77,7 +80,13 @@
     if bodies and bodies[0].parent == head.revision:
         return bodies
     changes = compare_states(stored, replica.state)
-    return [_join(head.revision, replica.state, changes, now)]
+    parents = [item for item in _beyond(replica.state, stored) if item != replica.state.revision]
+    return [_join(head.revision, replica.state, changes, now, *parents)]
+
+
+def _beyond(held: State, stored: State) -> list[Revision]:
+    """Return the revisions in the trail of one state that another lacks."""
+    return sorted({*held.trail} - {*stored.trail}, key=lambda item: (item.number, item.id))
 
 
 def _join(parent: Revision, state: State, changes, now: float, *parents: Revision) -> Body:
@@ -93,25 +102,36 @@
     )
 
 
-async def _read_fork(store, head: Head, stored: State, held: State) -> list[Change]:
-    common = {revision.number for revision in held.trail} & {
-        revision.number for revision in stored.trail if held.contains(revision)
-    }
-    history = await read_history(store, head.revision, max(common, default=0))
-    return [change for body in history for change in body.changes]
+async def _read_fork(store, head: Head, held: State) -> list[Change]:
+    """Return the changes on the way to the head since the last revision that a state contains.
+
+    A merge of a part of the held history is left out: its changes would take back what that
+    history changed later.
+    """
+    known = set(held.trail)
+    fork: list[Change] = []
+    for body in reversed(await read_recent(store, head.revision, TRAIL_LENGTH)):
+        if body.revision in known:
+            break
+        if not body.parents or not known.issuperset(body.parents):
+            fork[:0] = body.changes
+        if body.parent in known:
+            break
+    return fork
 
 
 def merge_fork(held: State, fork: list[Change]) -> tuple[list[Change], list[str]]:
     """Return the changes of a fork that a state can take, and the keys of the others.
 
-    A change is left out if an entry would refer to one that does not exist.
+    A change is left out if an entry would refer to one that does not exist, or share an address or
+    a key with another.
     """
     kept, dropped = {change.key: change for change in fork}, []
     while True:
         changes = [_rebase(held, change) for change in kept.values()]
         changes = [change for change in changes if change]
         merged = held.applied(Revision(held.revision.number, ""), changes)
-        wrong = kept.keys() & _find_dangling(merged)
+        wrong = kept.keys() & _find_inconsistent(merged)
         if not wrong:
             return changes, sorted(dropped)
         for key in wrong:
@@ -125,13 +145,20 @@
     return Change.between(change.kind, change.name, before, change.after)
 
 
-def _find_dangling(state: State) -> set[str]:
-    """Return the keys of entries with a missing target, and of the targets."""
+def _find_inconsistent(state: State) -> set[str]:
+    """Return the keys of entries with a missing target, of the targets, and of entries that share
+    a value that must differ.
+    """
     keys = set()
     for kind in KINDS.values():
+        owners: dict[str, str] = {}
         for name, entry in getattr(state.catalog, kind.section).items():
+            key = f"{kind.name}/{name}"
             for reference in kind.references:
                 for target in reference.names(entry):
                     if state.entry(reference.kind, target) is None:
-                        keys |= {f"{kind.name}/{name}", f"{reference.kind}/{target}"}
+                        keys |= {key, f"{reference.kind}/{target}"}
+            if kind.unique:
+                owner = owners.setdefault(getattr(entry, kind.unique), key)
+                keys |= {owner, key} if owner != key else set()
     return keys
