Add the task of the placement lease holder

The controller reads the stored targets, replans after the fleet has been still for 60 s (at once if a model has no chain left), stores the new targets by compare-and-swap and runs the executor. Usage reports get a run loop and the form of a payload exchange.

--- a/basilwinch/admission/exchange.py
+++ b/basilwinch/admission/exchange.py
@@ -1,8 +1,11 @@
 """Usage reports between nodes: direct in a small fleet, over two hops in a large one."""
 
 import math
+from collections.abc import Awaitable, Callable
 from random import Random
 
+import trio
+
 from basilwinch.admission.admission import Admission
 from basilwinch.admission.config import Usage
 from basilwinch.admission.grid import DIRECT_NODES, count_columns
@@ -42,6 +45,10 @@
     :param rng: source of randomness, to spread the sending over the interval and to thin out rows
     """
 
+    #: Number of the payload among the messages between nodes, and budget, sent plus received.
+    kind = 2
+    bytes_per_s = 1000.0
+
     __slots__ = (
         "node",
         "_admission",
@@ -118,10 +125,24 @@
         self._take_in(own, interval, now)
         return self._encode(up, down, interval, now)
 
-    def absorb(self, sender: str, data: bytes, now: float) -> Failure | None:
+    async def run(self, send: Callable[[str, bytes], Awaitable[None]]) -> None:
+        """Send the reports that are due, until cancelled.
+
+        :param send: sends a payload to a node by name; a lost one does no harm
+        """
+        while True:
+            for node, data in self.poll(trio.current_time()):
+                await send(node, data)
+            await trio.sleep(0.5)
+
+    def export(self, limit: int, now: float) -> bytes:
+        """Return nothing: each report is meant for one node, see :meth:`poll`."""
+        return b""
+
+    def absorb(self, sender: str, data: bytes, now: float) -> bool | Failure:
         """Take in a report.
 
-        :returns: ``MALFORMED_USAGE`` if it cannot be read
+        :returns: False, as nothing is to be passed on at once, or ``MALFORMED_USAGE``
         """
         report = unpack_report(data)
         if isinstance(report, Failure):
@@ -142,7 +163,7 @@
                     self._fleet[key] = (rates, now)
         if self.is_direct():
             self._admission.absorb_usage(sender, usages, now)
-        return None
+        return False
 
     # Grid of a large fleet.
 
--- a/basilwinch/placement/__init__.py
+++ b/basilwinch/placement/__init__.py
@@ -1,6 +1,7 @@
 """Placement of model layers on servers: the bound, the planner and the executor of orders."""
 
 from basilwinch.placement.bound import Bound, Workload, bound_of_fleet, bound_of_placements
+from basilwinch.placement.controller import Controller, FleetView
 from basilwinch.placement.executor import Executor, ExecutorConfig
 from basilwinch.placement.holding import read_placements, render_holdings
 from basilwinch.placement.planner import Plan, Planner, PlannerConfig, changed_servers
@@ -8,8 +9,10 @@
 
 __all__ = [
     "Bound",
+    "Controller",
     "Executor",
     "ExecutorConfig",
+    "FleetView",
     "Plan",
     "Planner",
     "PlannerConfig",
--- a/basilwinch/placement/executor.py
+++ b/basilwinch/placement/executor.py
@@ -10,7 +10,7 @@
 from basilwinch.record import Record
 from basilwinch.server import EngineClient, OrderKind, ServerOrder
 
-__all__ = ["Executor", "ExecutorConfig"]
+__all__ = ["Executor", "ExecutorConfig", "first_error"]
 
 
 class ExecutorConfig(Record):
@@ -125,7 +125,7 @@
         except* BasilwinchError as group:
             lost += group.exceptions
         # The first cause ends the run; orders that were on their way are cancelled with it.
-        raise BasilwinchError(_first(lost).failure)
+        raise BasilwinchError(first_error(lost).failure)
 
     async def _round(self, nursery) -> None:
         self._token()
@@ -208,6 +208,7 @@
         self.held[server.name] = {tuple(entry) for entry in reply.holds}
 
 
-def _first(errors) -> BasilwinchError:
+def first_error(errors) -> BasilwinchError:
+    """Return the first error of possibly nested exception groups."""
     first = errors[0]
-    return _first(first.exceptions) if isinstance(first, BaseExceptionGroup) else first
+    return first_error(first.exceptions) if isinstance(first, BaseExceptionGroup) else first
--- a/basilwinch/placement/tests/test_executor.py
+++ b/basilwinch/placement/tests/test_executor.py
@@ -12,8 +12,10 @@
 from basilwinch.observability import DecisionLog
 from basilwinch.pipeline import Placement, Stage
 from basilwinch.placement import (
+    Controller,
     Executor,
     ExecutorConfig,
+    FleetView,
     Plan,
     Planner,
     PlannerConfig,
@@ -251,3 +253,44 @@
         assert not failure and failure.kind is TARGETS_CHANGED
 
     in_virtual_time(scenario)
+
+
+def test_the_holder_replans_after_a_loss_and_a_second_one_goes_on():
+    """Guards against moves for each restart, a dead model that waits, and a holder that starts
+    from nothing instead of from the stored targets."""
+
+    async def scenario():
+        world = World([server(name) for name in "abcd"])
+        store, log = MemoryKeyValueStore(), DecisionLog.for_benchmark()
+        live = dict(world.servers)
+
+        def view():
+            return FleetView(dict(live), MODELS, Workload({"m": 1}))
+
+        def controller():
+            executor = world.executor(drain_s=1.0)
+            planner = Planner.from_config(PlannerConfig(), random.Random(0), log)
+            targets = TargetStore(store)
+            return Controller(planner, targets, executor, view, lambda: world.fence, log)
+
+        first = controller()
+        async with running(first):
+            await trio.sleep(30)
+            plan = first.plan
+            assert not plan.failures and first._executor.is_done()
+            gone = live.pop("a")
+            await trio.sleep(30)
+            assert first.plan is plan
+            live["a"] = gone
+            await trio.sleep(120)
+            assert first.plan is plan
+            del live["b"], live["c"], live["d"]
+            await trio.sleep(30)
+            assert has_chain([(s.first, s.end) for s in first.plan.placements["m"].stages], 4)
+        world.fence = 8
+        second = controller()
+        async with running(second):
+            await trio.sleep(5)
+            assert second.plan.placements == first.plan.placements
+
+    in_virtual_time(scenario)
