--- a/basilwinch/admission/exchange.py
+++ b/basilwinch/admission/exchange.py
@@ -1,12 +1,15 @@
 """Usage reports between nodes: direct in a small fleet, over two hops in a large one."""
 
 import math
+from collections.abc import Awaitable, Callable
 from random import Random
 
+import trio
+
 from basilwinch.admission.admission import Admission
 from basilwinch.admission.config import Usage
 from basilwinch.admission.grid import DIRECT_NODES, count_columns
-from basilwinch.admission.report import Direction, pack_report, short_id, unpack_report
+from basilwinch.admission.report import Direction, assign_ids, pack_report, unpack_report
 from basilwinch.exception import Failure
 
 __all__ = ["UsageExchange"]
@@ -14,13 +17,16 @@
 # Rows of a child count for this many intervals, so that one that comes late is not missed.
 _VALID = 1.5
 # The home sends the usage of the fleet back from this part of a limit on; below, no node needs it.
-_CONTENDED = 0.75
+_CONTENDED = 0.9
+# It stops below this part: nodes that hear nothing grant freely, so a limit that is sent and not
+# sent in turns by noise would be exceeded by a burst on each node again and again.
+_CALM = 0.6
 # Rows that an organisation at its limit needs in an interval; more are thinned out.
 # With three instead of twelve, 7% of the requests of organisations at 40% of their limits were
 # refused on 100 nodes.
 _SAMPLES = 12
 # Weight of a new sum at the home.
-_SMOOTH = 0.5
+_SMOOTH = 0.4
 # A row towards nodes is sent again if it changed by this part or after this many intervals.
 _CHANGE = 0.2
 _REFRESH = 1.7
@@ -42,10 +48,15 @@
     :param rng: source of randomness, to spread the sending over the interval and to thin out rows
     """
 
+    #: Number of the payload among the messages between nodes, and budget, sent plus received.
+    kind = 2
+    bytes_per_s = 1000.0
+
     __slots__ = (
         "node",
         "_admission",
         "_rng",
+        "_ids",
         "_names",
         "_rules",
         "_order",
@@ -54,6 +65,7 @@
         "_last",
         "_children",
         "_fleet",
+        "_contended",
         "_heard",
         "_sent",
         "_sent_at",
@@ -63,6 +75,7 @@
         self.node = node
         self._admission = admission
         self._rng = rng
+        self._ids: dict[str, int] = {}
         self._names: dict[int, str] = {}
         self._rules: dict = {}
         self._order: list[str] = [node]
@@ -73,6 +86,8 @@
         self._children: dict[int, dict[str, tuple]] = {}
         # Usage of the whole fleet as the homes sent it: id -> (rates, time).
         self._fleet: dict[int, tuple] = {}
+        # Ids with this node as home that are near their limits.
+        self._contended: set[int] = set()
         self._heard: dict[str, float] = {}
         # Rows that went towards nodes last: id -> (rates, time).
         self._sent: dict[int, tuple] = {}
@@ -82,11 +97,13 @@
         """Set the organisations and the names of the live nodes, this one included."""
         if organisations is not self._rules:
             self._rules = organisations
-            self._names = {
-                short_id(name): name
+            limited = [
+                name
                 for name, rules in organisations.items()
                 if rules.requests_per_s or rules.tokens_per_s
-            }
+            ]
+            self._ids = assign_ids(limited)
+            self._names = {key: name for name, key in self._ids.items()}
         order = sorted({self.node, *nodes})
         if order != self._order:
             self._order = order
@@ -108,20 +125,38 @@
         # Nodes that started together must not keep sending together.
         self._due = now + interval * self._rng.uniform(0.9, 1.1)
         usages = self._admission.usage(now)
+        own = {
+            self._ids[usage.organisation]: _rates(usage)
+            for usage in usages
+            if usage.organisation in self._ids
+        }
         if self.is_direct():
-            rows = [(short_id(usage.organisation), _rates(usage)) for usage in usages]
+            rows = list(own.items())
             seconds = max((usage.seconds for usage in usages), default=0.0)
             data = pack_report([(Direction.DIRECT, rows)], seconds)
             return [(node, data) for node in self._order if node != self.node]
-        own = {short_id(usage.organisation): _rates(usage) for usage in usages}
         up, down = self._sort_rows(own, interval, now)
         self._take_in(own, interval, now)
         return self._encode(up, down, interval, now)
 
-    def absorb(self, sender: str, data: bytes, now: float) -> Failure | None:
+    async def run(self, send: Callable[[str, bytes], Awaitable[None]]) -> None:
+        """Send the reports that are due, until cancelled.
+
+        :param send: sends a payload to a node by name; a lost one does no harm
+        """
+        while True:
+            for node, data in self.poll(trio.current_time()):
+                await send(node, data)
+            await trio.sleep(0.5)
+
+    def export(self, limit: int, now: float) -> bytes:
+        """Return nothing: each report is meant for one node, see :meth:`poll`."""
+        return b""
+
+    def absorb(self, sender: str, data: bytes, now: float) -> bool | Failure:
         """Take in a report.
 
-        :returns: ``MALFORMED_USAGE`` if it cannot be read
+        :returns: False, as nothing is to be passed on at once, or ``MALFORMED_USAGE``
         """
         report = unpack_report(data)
         if isinstance(report, Failure):
@@ -142,7 +177,7 @@
                     self._fleet[key] = (rates, now)
         if self.is_direct():
             self._admission.absorb_usage(sender, usages, now)
-        return None
+        return False
 
     # Grid of a large fleet.
 
@@ -165,6 +200,7 @@
         _drop_older(self._sent, now - 2 * _VALID * interval)
         up: dict[str, list] = {}
         down: dict[str, list] = {}
+        self._contended &= self._fleet.keys()
         for key in {*own, *self._children}:
             children = self._children.get(key, {})
             _drop_older(children, oldest)
@@ -179,7 +215,7 @@
                     pairs = zip(former, total, strict=True)
                     total = tuple(old + _SMOOTH * (new - old) for old, new in pairs)
                 self._fleet[key] = (total, now)
-                if not self._is_contended(key, total):
+                if not self._mark(key, total):
                     continue
             elif relay == self.node:
                 total = _sum([row for row, _ in children.values()] + ([mine] if mine else []))
@@ -228,19 +264,25 @@
             return None
         return tuple(rate / part for rate in rates)
 
-    def _is_contended(self, key, rates) -> bool:
+    def _mark(self, key, rates) -> bool:
+        """Tell whether an organisation of this home is near its limits, with hysteresis."""
         rules = self._rules.get(self._names.get(key))
         if rules is None:
             return False
         limits = ((rates[2], rules.requests_per_s), (rates[3], rules.tokens_per_s))
-        return any(limit and wanted >= _CONTENDED * limit for wanted, limit in limits)
+        part = max((wanted / limit for wanted, limit in limits if limit), default=0.0)
+        if part >= (_CALM if key in self._contended else _CONTENDED):
+            self._contended.add(key)
+            return True
+        self._contended.discard(key)
+        return False
 
     def _take_in(self, own, interval, now) -> None:
         """Give the usage of all other nodes to admission."""
         usages = []
         for key, (rates, _) in self._fleet.items():
             name = self._names.get(key)
-            if name is not None and self._is_contended(key, rates):
+            if name is not None and (self._home(key) != self.node or key in self._contended):
                 mine = own.get(key, _NOTHING)
                 less = (max(0.0, a - b) for a, b in zip(rates, mine, strict=True))
                 usages.append(Usage(name, *less))
