--- a/basilwinch/admission/config.py
+++ b/basilwinch/admission/config.py
@@ -11,7 +11,8 @@
     :param burst_s: seconds of an organisation's limit that may be used at once
     :param least_burst: least number of requests that may be used at once
     :param demand_window_s: time constant of the demand that shares between nodes follow
-    :param report_s: interval of usage reports in a small fleet
+    :param report_s: least interval of usage reports
+    :param report_s_per_peer: interval of usage reports for each peer that a node reports to
     :param most_debt_s: seconds of the limit that are paid back at most after nodes granted too much
         before they saw each other's reports
     :param queue_per_organisation: requests of one organisation that may wait for one model
@@ -25,6 +26,7 @@
         "least_burst",
         "demand_window_s",
         "report_s",
+        "report_s_per_peer",
         "most_debt_s",
         "queue_per_organisation",
         "queue_total",
@@ -36,7 +38,8 @@
         "least_burst": 4.0,
         "demand_window_s": 10.0,
         "report_s": 2.0,
-        "most_debt_s": 60.0,
+        "report_s_per_peer": 0.6,
+        "most_debt_s": 300.0,
         "queue_per_organisation": 64,
         "queue_total": 1024,
         "default_slots": 16,
@@ -66,7 +69,15 @@
     :param tokens: granted tokens a second
     :param wanted_requests: requests a second that were asked for, refused ones included
     :param wanted_tokens: tokens a second that were asked for
+    :param seconds: time over which the rates were counted, 0 if it is not known
     """
 
-    __slots__ = ("organisation", "requests", "tokens", "wanted_requests", "wanted_tokens")
-    _defaults = {"wanted_requests": 0.0, "wanted_tokens": 0.0}
+    __slots__ = (
+        "organisation",
+        "requests",
+        "tokens",
+        "wanted_requests",
+        "wanted_tokens",
+        "seconds",
+    )
+    _defaults = {"wanted_requests": 0.0, "wanted_tokens": 0.0, "seconds": 0.0}
--- a/basilwinch/daemon/core.py
+++ b/basilwinch/daemon/core.py
@@ -1,6 +1,8 @@
 """The decision parts of one node and the state in effect that they share."""
 
 import random
+import time
+from collections.abc import Callable
 
 import prometheus_client
 import structlog
@@ -12,6 +14,7 @@
 from basilwinch.observability import DecisionLog
 from basilwinch.order import OrderConfig, OrderRunner
 from basilwinch.pipeline import Placement
+from basilwinch.placement import read_placements
 from basilwinch.record import Record
 from basilwinch.relay import Relay, RelayConfig, SuspectConfig, SuspectRegistry
 from basilwinch.release import Replica
@@ -62,6 +65,7 @@
         "config",
         "outside",
         "replica",
+        "catalog",
         "router",
         "admission",
         "suspects",
@@ -73,10 +77,14 @@
         "log",
         "registry",
         "_applied",
+        "_holdings",
+        "find_unsynced",
         "_structlog",
     )
 
-    def __init__(self, config: CoreConfig, outside: Outside, registry, replica: Replica):
+    def __init__(
+        self, config: CoreConfig, outside: Outside, registry, replica: Replica, wall_clock: Callable
+    ):
         rng = random.Random(config.seed)
         self.config = config
         self.outside = outside
@@ -92,11 +100,22 @@
         )
         self.dispatcher = ServiceDispatcher(outside.services, rng, self.log)
         self.orders = OrderRunner.from_config(
-            OrderConfig(node=config.name), outside.store, outside.services, rng, self.log
+            OrderConfig(node=config.name),
+            outside.store,
+            outside.services,
+            rng,
+            self.log,
+            wall_clock,
+            lambda service: self.dispatcher.candidates(service, trio.current_time()),
         )
+        #: The state that all parts use; it follows the replica as a whole, see :meth:`apply`.
+        self.catalog = Catalog()
         self.placements: dict[str, Placement] = {}
         self.nodes = 1
+        #: Returns a ``Failure`` while the node may hold an old state, else None.
+        self.find_unsynced: Callable[[], Failure | None] = lambda: None
         self._applied: tuple | None = None
+        self._holdings: object = None
         self._structlog = structlog.get_logger("node")
 
     @classmethod
@@ -106,21 +125,24 @@
         outside: Outside,
         registry: prometheus_client.CollectorRegistry | None = None,
         replica: Replica | None = None,
+        wall_clock: Callable[[], float] = time.time,
     ) -> "NodeCore":
-        """Build the decision parts; registry and replica are new by default."""
-        registry = registry or prometheus_client.CollectorRegistry()
-        return cls(config, outside, registry, replica or Replica())
+        """Build the decision parts.
 
-    @property
-    def catalog(self) -> Catalog:
-        """The state in effect."""
-        return self.replica.catalog
+        :param config: settings
+        :param outside: systems around the node
+        :param registry: registry of metrics, new by default
+        :param replica: state in effect, empty by default
+        :param wall_clock: returns seconds since the epoch
+        """
+        registry = registry or prometheus_client.CollectorRegistry()
+        return cls(config, outside, registry, replica or Replica(), wall_clock)
 
     def find_unready(self) -> Failure | None:
-        """Return ``NOT_READY`` until a first revision is in effect."""
-        if self.replica.revision == 0:
+        """Return ``NOT_READY`` until a first revision is in effect and known to be the newest."""
+        if self.catalog.revision == 0:
             return NOT_READY.because("no release note is in effect yet", retry_after=1.0)
-        return None
+        return self.find_unsynced()
 
     def describe(self) -> dict:
         """Return what operators see under ``/admin/state``."""
@@ -129,7 +151,7 @@
             "name": self.config.name,
             "zone": self.config.zone,
             "region": self.config.region,
-            "revision": self.replica.revision,
+            "revision": self.catalog.revision,
             "revision_id": self.replica.revision_id,
             "ready": unready is None,
             "nodes": self.nodes,
@@ -137,15 +159,13 @@
             "stages": {name: len(p.stages) for name, p in sorted(self.placements.items())},
         }
 
-    def apply(self, placements: dict[str, Placement] | None = None) -> None:
-        """Bring all parts to the state in effect and to new placements.
-
-        :param placements: placements by model, None to keep those in use
-        """
+    def apply(self) -> None:
+        """Bring all parts to the state in effect."""
         now = trio.current_time()
-        if placements is not None:
-            self.placements = placements
-        catalog = self.catalog
+        catalog = self.catalog = self.replica.catalog
+        if catalog.holdings is not self._holdings:
+            self._holdings = catalog.holdings
+            self.placements = read_placements(catalog)
         self._applied = (catalog.revision, self.nodes)
         self.router.update(catalog, self.placements, now)
         self.admission.update(catalog.organisations, self.nodes, now)
@@ -159,6 +179,6 @@
     async def run(self) -> None:
         """Apply new revisions until cancelled."""
         while True:
-            if self._applied != (self.catalog.revision, self.nodes):
+            if self._applied != (self.replica.revision, self.nodes):
                 self.apply()
             await trio.sleep(APPLY_EVERY_S)
--- a/basilwinch/membership/outbox.py
+++ b/basilwinch/membership/outbox.py
@@ -22,8 +22,12 @@
 _FIXED_BYTES = 110
 # Room for gossip about members in each message: five changes or one introduction.
 _UPDATE_BYTES = 120
-# Part of the burst that must be left for payloads, which can wait.
-_PAYLOAD_LEVEL = 0.0
+# Room when many nodes change at once, e.g. when a region is cut off, as long as the budget allows.
+_BACKLOG_BYTES = 400
+_BACKLOG = 8
+_BACKLOG_LEVEL = -0.25
+# Part of the burst that must be left for payloads, which can wait longer than changes.
+_PAYLOAD_LEVEL = 0.5
 
 
 class Outbox:
@@ -105,24 +109,25 @@
         :param shares: messages that the reserve must still do for
         """
         now = trio.current_time()
-        message.updates += tuple(self._roster.take_updates(_UPDATE_BYTES))
+        wide = self._roster.backlog > _BACKLOG and self.budget.level(now) > _BACKLOG_LEVEL
+        limit = _BACKLOG_BYTES if wide else _UPDATE_BYTES
+        message.updates += tuple(self._roster.take_updates(limit))
         if entry is None:
             message.updates += (self._roster.own.to_update(True),)
         elif entry.state != MemberState.ALIVE:
             # The receiver learns what is thought of it and can contradict.
             message.updates += (entry.to_update(False),)
         room = MAX_DATAGRAM - _FIXED_BYTES - sum(map(_update_size, message.updates))
-        changes = b""
         if held is not None and held < self._spread.revision:
-            changes, message.large = self._spread.delta(held, room)
+            message.delta, message.large = self._spread.delta(held, room)
             if entry:
                 entry.sent_revision, entry.sent_at = self._spread.revision, now
         if entry and self.budget.level(now) > _PAYLOAD_LEVEL:
-            message.payloads = self.exchanges.export(room - len(changes), now, urgent, shares)
-        packet = self.seal(encode_body(message, changes), life)
+            message.payloads = self.exchanges.export(room - len(message.delta), now, urgent, shares)
+        packet = self.seal(encode_body(message), life)
         self.spend("sent", len(packet) + DATAGRAM_OVERHEAD)
         self.traffic[f"sent_{message.kind}"] += 1
-        self.traffic["sent_change_bytes"] += len(changes)
+        self.traffic["sent_change_bytes"] += len(message.delta)
         self.traffic["sent_payload_bytes"] += sum(len(data) for _, data in message.payloads)
         await self._transport.send(address, packet)
 
--- a/basilwinch/membership/simulation.py
+++ b/basilwinch/membership/simulation.py
@@ -49,6 +49,10 @@
             struct.pack(">I", len(change)) + change for change in changes
         )
 
+    def warm(self, count: int) -> bool:
+        """Nothing to prepare."""
+        return False
+
     def absorb(self, data: bytes) -> bool | Failure:
         """Apply changes, whole and only forward."""
         since, count = _ENTRY.unpack_from(data)
@@ -89,6 +93,10 @@
         """Watch the head."""
         return self._store.watch(HEAD)
 
+    def is_met(self, event) -> bool:
+        """Tell whether the replica holds what an event announced."""
+        return self._replica.revision >= int(event.value)
+
 
 async def publish(store, change: bytes) -> int | None:
     """Accept a change with one compare-and-swap, rebasing until it succeeds.
@@ -168,6 +176,7 @@
         self.membership = Membership.from_config(
             config, self.transport, self.replica, rng, cluster.log, source, cluster.vm_list
         )
+        cluster.on_start(self)
         self._scope = trio.CancelScope()
         cluster.nursery.start_soon(self._run, self._scope)
 
@@ -221,6 +230,7 @@
         self.vm_list = None
         self.log = DecisionLog.for_benchmark()
         self.keyring = Keyring({1: b"k" * 32})
+        self.on_start = lambda node: None
         self.make_replica = make_replica
         self.make_source = make_source
         if store and not make_source:
