--- a/basilwinch/daemon/connected.py
+++ b/basilwinch/daemon/connected.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from basilwinch.admission import UsageExchange
 from basilwinch.daemon.core import NodeCore
 from basilwinch.exception import (
     INVALID_SETTING,
@@ -275,7 +276,19 @@
 
 
 async def follow_members(core: NodeCore, membership: Membership) -> None:
-    """Keep the number of nodes that share the limits up to date, until cancelled."""
-    while True:
-        core.nodes = max(1, len(membership.members(trio.current_time())))
-        await trio.sleep(MEMBERS_EVERY_S)
+    """Exchange limit usage with the members and keep their number up to date, until cancelled."""
+    rng = random.Random(core.config.seed)
+    usage = UsageExchange(core.config.name, core.admission, rng)
+    membership.add_exchange(usage)
+
+    async def send(name: str, data: bytes) -> None:
+        await membership.send_payload(name, usage.kind, data)
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(usage.run, send)
+        while True:
+            now = trio.current_time()
+            names = [member.name for member in membership.members(now)]
+            core.nodes = max(1, len(names))
+            usage.update(core.catalog.organisations, names, now)
+            await trio.sleep(MEMBERS_EVERY_S)
--- a/basilwinch/membership/membership.py
+++ b/basilwinch/membership/membership.py
@@ -211,6 +211,12 @@
             if self._watcher:
                 nursery.start_soon(self._watcher.run)
 
+    async def send_payload(self, name: str, kind: int, data: bytes) -> None:
+        """Send a payload to one node by its name; it is lost if the node is not known."""
+        entry = self.roster.entries.get(node_id(name))
+        if entry is not None:
+            await self.outbox.send_payload(entry, kind, data)
+
     async def leave(self) -> None:
         """Tell some peers that this node takes no new work; gossip carries it on."""
         self.roster.set_own(trio.current_time(), leaving=True)
--- a/basilwinch/membership/outbox.py
+++ b/basilwinch/membership/outbox.py
@@ -123,7 +123,8 @@
             if entry:
                 entry.sent_revision, entry.sent_at = self._spread.revision, now
         if entry and (urgent or self.budget.level(now) > _PAYLOAD_LEVEL):
-            message.payloads = self.exchanges.export(room - len(message.delta), now, urgent, shares)
+            room -= len(message.delta) + sum(len(data) for _, data in message.payloads)
+            message.payloads += self.exchanges.export(room, now, urgent, shares)
         packet = self.seal(encode_body(message), life)
         self.spend("sent", len(packet) + DATAGRAM_OVERHEAD)
         self.traffic[f"sent_{message.kind}"] += 1
@@ -142,6 +143,12 @@
         if not (recent and entry.sent_revision == self._spread.revision):
             await self.send_to(Send(entry, Kind.DIGEST, 0), entry.revision)
 
+    async def send_payload(self, entry: Entry, kind: int, data: bytes) -> None:
+        """Send a payload that is meant for one node; without budget it is dropped."""
+        if self.budget.level(trio.current_time()) > _PAYLOAD_LEVEL:
+            message = self.header(Kind.DIGEST, payloads=((kind, data),))
+            await self.send(entry.address, message, entry, entry.life)
+
     async def send_to_some(self, count: int) -> None:
         """Send a message without a probe to some random nodes, with all urgent payloads."""
         urgent, self.exchanges.urgent = frozenset(self.exchanges.urgent), set()
--- a/basilwinch/scenario/actions.py
+++ b/basilwinch/scenario/actions.py
@@ -9,7 +9,7 @@
 from basilwinch.release import Publisher, read_note
 from basilwinch.scenario.fleet import POLL_S, Fleet, read_wall_clock
 from basilwinch.scenario.language import Pattern
-from basilwinch.scenario.note import render_organisation, render_server_state
+from basilwinch.scenario.note import render_limit, render_organisation, render_server_state
 from basilwinch.scenario.traffic import Traffic
 from basilwinch.standin import CRASH_MARK
 
@@ -254,6 +254,25 @@
     world.tasks.start_soon(_publish, world, name, render_organisation(name))
 
 
+@step("limit NAME to RATE requests")
+async def limit_organisation(world: World, name: str, rate: float) -> None:
+    """Publish a note that limits an organisation to requests a second over all VMs."""
+    await _publish(world, name, render_limit(name, rate))
+
+
+@step("flood NAME rate RATE for SECONDS")
+async def flood(world: World, name: str, rate: float, seconds: float) -> None:
+    """Send short requests of one organisation in the background."""
+    world.tasks.start_soon(world.traffic.flood, name, rate, seconds)
+
+
+@step("expect granted NAME at most COUNT")
+async def expect_granted(world: World, name: str, count: int) -> None:
+    """Require that at most so many requests of a flood were admitted, and some."""
+    granted = world.traffic.granted[name]
+    require(0 < granted <= count, f"{granted} requests of {name} were admitted")
+
+
 @step("publish server NAME NAME")
 async def publish_server(world: World, name: str, state: str) -> None:
     """Publish a note that changes the state of a server, in the background."""
--- a/basilwinch/scenario/note.py
+++ b/basilwinch/scenario/note.py
@@ -1,6 +1,6 @@
 """Release notes of scenarios."""
 
-__all__ = ["render_fleet", "render_organisation", "render_server_state"]
+__all__ = ["render_fleet", "render_limit", "render_organisation", "render_server_state"]
 
 # Five kinds of accelerators: name, number, memory in bytes, tokens a second through one layer.
 _ACCELERATORS = (
@@ -58,3 +58,8 @@
 def render_server_state(name: str, state: str) -> str:
     """Return a note that changes the state of a server."""
     return f'[[changed.server]]\nname = "{name}"\nstate = "{state}"\n'
+
+
+def render_limit(name: str, rate: float) -> str:
+    """Return a note that limits an organisation to requests a second."""
+    return f'[[changed.organisation]]\nname = "{name}"\nrequests_per_s = {rate}\n'
--- a/basilwinch/scenario/traffic.py
+++ b/basilwinch/scenario/traffic.py
@@ -30,7 +30,7 @@
     :param fleet: the fleet
     """
 
-    __slots__ = ("fleet", "outcomes", "codes", "reasons", "_count", "_order_ids")
+    __slots__ = ("fleet", "outcomes", "codes", "reasons", "granted", "_count", "_order_ids")
 
     def __init__(self, fleet: Fleet):
         self.fleet = fleet
@@ -38,6 +38,8 @@
         self.outcomes: dict[str, Outcome] = {}
         #: Failures by code.
         self.codes: Counter = Counter()
+        #: Admitted requests of floods by organisation.
+        self.granted: Counter = Counter()
         #: Why the last answer to an order was not "done".
         self.reasons: dict[str, str] = {}
         self._count = 0
@@ -155,6 +157,21 @@
                 nursery.start_soon(self.ask, name, tokens, f"prompt {name}")
                 await trio.sleep(rng.expovariate(rate))
 
+    async def flood(self, organisation: str, rate: float, seconds: float) -> None:
+        """Send one-token requests of one organisation at a rate; refusals are expected."""
+        rng = self.fleet.rng
+        end = trio.current_time() + seconds
+        async with trio.open_nursery() as nursery:
+            while trio.current_time() < end:
+                nursery.start_soon(self._flood_one, organisation, self.next_name("f"))
+                await trio.sleep(rng.expovariate(rate))
+
+    async def _flood_one(self, organisation: str, request: str) -> None:
+        vm = self.choose_vm()
+        admit = AdmitRequest(request, organisation, MODEL, 1, DEADLINE_S)
+        async with vm.core.admission.enter(admit) as ticket:
+            self.granted[organisation] += bool(ticket)
+
     async def send_orders(self, rate: float, seconds: float, duplicates: float) -> None:
         """Send orders at a rate for a time; a share of them is sent again by their callers."""
         rng = self.fleet.rng
