Use the placement controller; read servers back from time to time

Cause: two tasks planned placements, one in the daemon and one in the placement package. A test showed that a server that restarts empty between two orders was never loaded again: what it holds was read only at the start. Change: the daemon's task runs the package's controller and only adds which servers are usable and how holdings are published; servers are read again after 20 s, at most 20 in a round. Conclusion: one planner loop; the reading rate is bounded at any fleet size.

--- a/basilwinch/daemon/placing.py
+++ b/basilwinch/daemon/placing.py
@@ -6,16 +6,17 @@
 import structlog
 import trio
 
-from basilwinch.catalog import Catalog, ServerState, ServiceKind
+from basilwinch.catalog import Catalog, Server, ServerState, ServiceKind
 from basilwinch.daemon.core import NodeCore
 from basilwinch.daemon.embedded import CONTEXT_TOKENS, TOKEN_S
 from basilwinch.daemon.holding import build_holding_note
-from basilwinch.exception import BasilwinchError, Failure, PlatformError
+from basilwinch.exception import BasilwinchError, PlatformError
 from basilwinch.lease import HeldLease, LeaseConfig, LeaseHolder
 from basilwinch.placement import (
+    Controller,
     Executor,
     ExecutorConfig,
-    Plan,
+    FleetView,
     Planner,
     PlannerConfig,
     TargetStore,
@@ -25,7 +26,6 @@
 
 __all__ = ["PlacementTask"]
 
-PLAN_EVERY_S = 0.5
 RETRY_S = 1.0
 # A server that cannot be reached for this long is planned without; a restart takes less.
 LOST_AFTER_S = 30.0
@@ -74,64 +74,45 @@
 
     async def _hold(self, held: HeldLease) -> None:
         quiet_s = max(0.0, held.unfenced_from - trio.current_time())
+        fence = partial(_find_fence, held)
         executor = Executor(
             self._config.replace(quiet_s=quiet_s),
             self._core.outside.engines,
-            partial(_find_fence, held),
+            fence,
             lambda placements: self._publish(executor, placements),
             self._core.log,
         )
+        controller = Controller(
+            self._planner,
+            self._targets,
+            executor,
+            lambda: self._view_fleet(executor),
+            fence,
+            self._core.log,
+        )
         try:
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._plan, executor, held)
-                await executor.run()
-        except* (BasilwinchError, PlatformError) as group:
-            for error in group.exceptions:
-                self._note_failure(error)
-
-    def _note_failure(self, error) -> None:
-        while isinstance(error, BaseExceptionGroup):
-            error = error.exceptions[0]
-        self._log.warning("placement stopped", **error.failure.to_dict())
-        seen = error.failure.detail.get("fence")
-        if seen is not None:
-            self._holder.raise_floor(seen)
-
-    async def _plan(self, executor: Executor, held: HeldLease) -> None:
-        """Plan again whenever servers or models have changed."""
-        plan, revision = await self._targets.read()
-        planned: tuple | None = None
-        while True:
-            catalog = self._core.catalog
-            servers = self._find_usable(catalog, executor)
-            wanted = (tuple(sorted(servers)), catalog.models, catalog.versions)
-            if catalog.models and servers and wanted != planned:
-                planned = wanted
-                plan = self._make_plan(plan, servers, catalog)
-                written = await self._targets.write(plan, held.fence, revision)
-                if isinstance(written, Failure):
-                    raise PlatformError(written)
-                revision = written
-                executor.set_targets(plan.placements, servers, dict(catalog.models))
-            await trio.sleep(PLAN_EVERY_S)
-
-    def _make_plan(self, plan: Plan | None, servers: dict, catalog: Catalog) -> Plan:
+            await controller.run()
+        except BasilwinchError as error:
+            self._log.warning("placement stopped", **error.failure.to_dict())
+            seen = error.failure.detail.get("fence")
+            if seen is not None:
+                self._holder.raise_floor(seen)
+
+    def _view_fleet(self, executor: Executor) -> FleetView:
+        catalog = self._core.catalog
         models = dict(catalog.models)
         versions = {version.model: name for name, version in sorted(catalog.versions.items())}
         workload = Workload(dict.fromkeys(models, 1.0), CONTEXT_TOKENS, TOKEN_S)
-        if plan is None or not plan.groups:
-            return self._planner.plan(servers, models, workload, versions)
-        return self._planner.replan(plan, servers, models, workload, versions)
+        return FleetView(self._find_usable(catalog, executor), models, workload, versions)
 
     def _find_usable(self, catalog: Catalog, executor: Executor) -> dict:
         """Return the live engines, without those that could not be reached for long."""
         now = trio.current_time()
-        live = {}
-        for name, server in catalog.servers.items():
-            service = catalog.services.get(server.service)
-            is_engine = service is not None and service.kind is ServiceKind.MODEL
-            if is_engine and server.state is ServerState.LIVE:
-                live[name] = server
+        live = {
+            name: server
+            for name, server in catalog.servers.items()
+            if server.state is ServerState.LIVE and _is_engine(catalog, server)
+        }
         for name in live:
             if name in executor.held:
                 self._missing_since.pop(name, None)
@@ -168,5 +149,10 @@
             await trio.sleep(RETRY_S)
 
 
+def _is_engine(catalog: Catalog, server: Server) -> bool:
+    service = catalog.services.get(server.service)
+    return service is not None and service.kind is ServiceKind.MODEL
+
+
 def _find_fence(held: HeldLease) -> int | None:
     return held.fence if held.check(trio.current_time()) is None else None
--- a/basilwinch/placement/executor.py
+++ b/basilwinch/placement/executor.py
@@ -22,16 +22,30 @@
         rest of the former holder's lease plus the longest order
     :param poll_s: interval of the control loop
     :param retry_s: time until a server that failed is read again
+    :param reread_s: time after which a server is read again: one that restarted empty between two
+        orders is noticed by nothing else here
+    :param rereads: servers read again in one round at most, so that a large fleet takes longer
+        instead of more work
     :param parallel_orders: orders on their way at most; keeps loads within the rate of the weight
         store
     """
 
-    __slots__ = ("drain_s", "quiet_s", "poll_s", "retry_s", "parallel_orders")
+    __slots__ = (
+        "drain_s",
+        "quiet_s",
+        "poll_s",
+        "retry_s",
+        "reread_s",
+        "rereads",
+        "parallel_orders",
+    )
     _defaults = {
         "drain_s": 60.0,
         "quiet_s": 30.0,
         "poll_s": 1.0,
         "retry_s": 5.0,
+        "reread_s": 20.0,
+        "rereads": 20,
         "parallel_orders": 16,
     }
 
@@ -65,6 +79,7 @@
         "withdrawn",
         "_busy",
         "_retry_at",
+        "_read_at",
     )
 
     def __init__(
@@ -92,6 +107,7 @@
         self.withdrawn: dict[tuple, float] = {}
         self._busy: set[tuple] = set()
         self._retry_at: dict[str, float] = {}
+        self._read_at: dict[str, float] = {}
 
     def set_targets(self, placements, servers, models) -> None:
         """Set the targets and the live servers; takes effect in the next round."""
@@ -135,6 +151,9 @@
             if name not in self.held and due and self._may_order(server, now):
                 self._retry_at[name] = now + self._config.retry_s
                 nursery.start_soon(self._read_back, server)
+        for server in self._find_stale(now):
+            self._read_at[server.name] = now
+            nursery.start_soon(self._read_back, server)
         unready = self._busy | {key for key, at in self.withdrawn.items() if at > now}
         steps, leave, back = next_steps(
             self._placements, self.held, self.withdrawn, unready, self._servers, self._models
@@ -149,6 +168,19 @@
             self._busy.add((step.server, step.held))
             nursery.start_soon(self._carry_out, step)
 
+    def _find_stale(self, now: float) -> list:
+        """Return the servers to read again in this round, the longest unread first."""
+        before = now - self._config.reread_s
+        stale = [
+            server
+            for name, server in self._servers.items()
+            if name in self.held
+            and self._read_at.get(name, now) <= before
+            and self._may_order(server, now)
+        ]
+        stale.sort(key=lambda server: self._read_at[server.name])
+        return stale[: self._config.rereads]
+
     async def _announce(self) -> None:
         present = {name: held for name, held in self.held.items() if name in self._servers}
         placements = serving(present, self.withdrawn, self._placements, self._models)
@@ -206,6 +238,7 @@
                 self._log.record("place", "order failed", error.failure.reason, server=server.name)
                 return
         self.held[server.name] = {tuple(entry) for entry in reply.holds}
+        self._read_at[server.name] = trio.current_time()
 
 
 def first_error(errors) -> BasilwinchError:
