--- a/Makefile
+++ b/Makefile
@@ -42,3 +42,6 @@
 SEEDS ?= 5
 soak: setup
 	PYTHONHASHSEED=0 $(BIN)/python -m bench.soak --seeds $(SEEDS)
+
+bench-gateway: setup
+	PYTHONHASHSEED=0 $(BIN)/python -m bench.gateway
--- /dev/null
+++ b/bench/processes.py
@@ -0,0 +1,123 @@
+"""Starts the daemon and the stand-ins as processes of their own, for benchmarks and tests."""
+
+import contextlib
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+
+__all__ = ["Processes"]
+
+READY_S = 60.0
+KEY = "example-key-bharat-press"
+
+
+class Processes:
+    """Child processes of a benchmark or test, ended together.
+
+    :param folder: folder for log files
+    :param base_port: first port used
+    """
+
+    def __init__(self, folder: pathlib.Path, base_port: int):
+        self.folder = folder
+        self.platform = f"127.0.0.1:{base_port}"
+        self._base = base_port
+        self._children: dict[str, subprocess.Popen] = {}
+
+    def start(self, name: str, *arguments: str) -> None:
+        """Start a module of this package with the running interpreter."""
+        log = open(self.folder / f"{name}.log", "ab")  # noqa: SIM115 - the child owns it
+        command = [sys.executable, "-m", *arguments]
+        environ = dict(os.environ, PYTHONPATH=os.getcwd())
+        self._children[name] = subprocess.Popen(command, stdout=log, stderr=log, env=environ)
+        log.close()
+
+    def start_standins(self, note: str = "examples/first.toml") -> None:
+        """Start the platform and all servers of a release note."""
+        arguments = ("basilwinch.standin", "--platform", self.platform, "--note", note)
+        self.start("standins", *arguments)
+
+    def start_node(self, number: int) -> str:
+        """Start an entry node and return its address."""
+        address = f"127.0.0.1:{self._base + number}"
+        self.start(
+            f"node{number}",
+            "basilwinch.daemon",
+            "--platform",
+            self.platform,
+            "--listen",
+            address,
+            "--peer-listen",
+            f"127.0.0.1:{self._base + 100 + number}",
+            "--peers",
+            f"127.0.0.1:{self._base + 101}",
+            "--cluster-keys",
+            "1:00112233445566778899aabbccddeeff",
+            "--drain-delay",
+            "0.2",
+            "--log-level",
+            "warning",
+        )
+        return address
+
+    def publish(self, note: str = "examples/first.toml") -> None:
+        """Publish a release note.
+
+        :raises subprocess.CalledProcessError: if it is not accepted
+        """
+        tool = ["-m", "basilwinch.cli.program", "publish", note]
+        platform = ["--platform", f"http://{self.platform}"]
+        subprocess.run([sys.executable, *tool, *platform], check=True, stdout=subprocess.DEVNULL)
+
+    def wait_serving(self, address: str) -> None:
+        """Wait until a node answers model requests.
+
+        :raises TimeoutError: after ``READY_S``
+        """
+        end = time.monotonic() + READY_S
+        while time.monotonic() < end:
+            if read_json(f"http://{address}/admin/state").get("stages"):
+                return
+            time.sleep(0.2)
+        raise TimeoutError(f"{address} does not serve after {READY_S:g} s")
+
+    def signal(self, name: str, number: int) -> None:
+        """Send a signal to a child."""
+        self._children[name].send_signal(number)
+
+    def wait(self, name: str, seconds: float) -> int:
+        """Wait for a child to end and return its exit code."""
+        return self._children[name].wait(seconds)
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *exc):
+        for child in self._children.values():
+            with contextlib.suppress(ProcessLookupError):
+                child.send_signal(signal.SIGKILL)
+            child.wait()
+
+
+def read_json(url: str) -> dict:
+    """Return a JSON document, or an empty one if the server does not answer."""
+    try:
+        with urllib.request.urlopen(url, timeout=2) as response:
+            return json.load(response)
+    except (urllib.error.URLError, OSError, ValueError):
+        return {}
+
+
+def read_metric(address: str, name: str) -> float:
+    """Return the value of an unlabelled metric of a node."""
+    with urllib.request.urlopen(f"http://{address}/metrics", timeout=5) as response:
+        for line in response.read().decode().splitlines():
+            if line.startswith(name + " "):
+                return float(line.split()[1])
+    raise KeyError(name)
