Tell the running isolated test of a suspect entry by its node

Change: SuspectEntry.tester follows from the list of isolated runs. Measured: the four scenarios (crashing-request, i1-stage-dies, i1-stage-dies-twice, i2-platform-down-and-stage-dies) pass.

--- a/basilwinch/relay/evidence.py
+++ b/basilwinch/relay/evidence.py
@@ -60,6 +60,11 @@
     __slots__ = ("digest", "strikes", "cleared", "left_s", "tests")
     _defaults = {"cleared": (), "tests": ()}
 
+    @property
+    def tester(self) -> str:
+        """Name of the node that runs it in isolation now, or an empty string."""
+        return min((node for node, _, left_s, _ in self.tests if left_s > 0), default="")
+
 
 def pack(entries: list[SuspectEntry]) -> bytes:
     """Return entries as compressed bytes, about 150 for an entry with one strike.
