Plant faults, exchange platform contact, let notes name order queries

For each invariant a planted fault must be caught. Conclusion: the scenarios can fail, and a cut-off node answers unknown.

--- a/basilwinch/catalog/entries.py
+++ b/basilwinch/catalog/entries.py
@@ -136,10 +136,13 @@
     :param name: unique name
     :param kind: :class:`ServiceKind`
     :param non_idempotent: calls that must not be repeated, each ``"METHOD /path-prefix"``
+    :param order_query: path of an idempotent GET that tells whether an order ran, 200 if it did and
+        404 if not; ``{order_id}`` and ``{path}`` are replaced. Without one, an order whose reply
+        was lost stays unknown.
     """
 
-    __slots__ = ("name", "kind", "non_idempotent")
-    _defaults = {"non_idempotent": ()}
+    __slots__ = ("name", "kind", "non_idempotent", "order_query")
+    _defaults = {"non_idempotent": (), "order_query": ""}
 
     def __init__(self, *args, **fields):
         super().__init__(*args, **fields)
--- a/basilwinch/daemon/core.py
+++ b/basilwinch/daemon/core.py
@@ -78,8 +78,10 @@
         "registry",
         "_applied",
         "_holdings",
+        "_queries",
         "find_unsynced",
         "watch_leaving",
+        "peers_reach_platform",
         "_structlog",
     )
 
@@ -100,19 +102,24 @@
             RelayConfig(), self.router, outside.engines, self.suspects, rng, self.log
         )
         self.dispatcher = ServiceDispatcher(outside.services, rng, self.log)
+        #: Paths that tell whether an order ran, by service; filled from the catalog.
+        self._queries: dict[str, str] = {}
         self.orders = OrderRunner.from_config(
-            OrderConfig(node=config.name),
+            OrderConfig(node=config.name, queries=self._queries),
             outside.store,
             outside.services,
             rng,
             self.log,
             wall_clock,
             lambda service: self.dispatcher.candidates(service, trio.current_time()),
+            lambda: self.peers_reach_platform(),
         )
         #: The state that all parts use; it follows the replica as a whole, see :meth:`apply`.
         self.catalog = Catalog()
         self.placements: dict[str, Placement] = {}
         self.nodes = 1
+        #: Tells whether another node may reach the platform while this one does not.
+        self.peers_reach_platform: Callable[[], bool] = lambda: False
         #: Called in each round, to pass on newly leaving servers.
         self.watch_leaving: Callable[[], None] = lambda: None
         #: Returns a ``Failure`` while the node may hold an old state, else None.
@@ -174,6 +181,10 @@
         self.admission.update(catalog.organisations, self.nodes, now)
         self.relay.update(catalog)
         self.dispatcher.update(catalog)
+        self._queries.clear()
+        for name, service in catalog.services.items():
+            if service.order_query:
+                self._queries[name] = service.order_query
         for model in catalog.models:
             slots = min(self.config.slots, self.router.capacity(model))
             self.admission.set_capacity(model, max(1, slots))
--- a/basilwinch/daemon/node.py
+++ b/basilwinch/daemon/node.py
@@ -8,7 +8,7 @@
 import trio
 
 from basilwinch.catalog import Server
-from basilwinch.daemon.connected import PlatformSource, build_membership, follow_members
+from basilwinch.daemon.connected import build_follower, build_membership, follow_members
 from basilwinch.daemon.core import CoreConfig, NodeCore, Outside
 from basilwinch.daemon.embedded import EmbeddedPlatform, plan_placements
 from basilwinch.daemon.holding import build_holding_note
@@ -24,7 +24,7 @@
     PlainHandler,
     RequestIds,
 )
-from basilwinch.membership import Membership
+from basilwinch.membership import Membership, MembershipCollector, MeteredStore
 from basilwinch.platform.etcd import EtcdConfig, EtcdStore
 from basilwinch.release import Publisher, ReleaseNote, State, read_note_file
 from basilwinch.server import HttpEngineClient, HttpServiceClient
@@ -70,17 +70,18 @@
     async def _connected(cls, settings: Settings, rng: random.Random) -> "Node":
         ip, port = settings.platform
         host = f"[{ip}]" if ":" in ip else ip
-        store = EtcdStore.from_config(EtcdConfig((f"http://{host}:{port}",)))
+        store = MeteredStore(EtcdStore.from_config(EtcdConfig((f"http://{host}:{port}",))))
         find_server = _ServerLookup()
         engines = HttpEngineClient.from_config(find_server, settings.slots)
         services = HttpServiceClient.from_config(settings.slots)
         core = _build_core(settings, Outside(store, engines, services))
         find_server.core = core
-        source = PlatformSource.from_config(store, core, rng)
         if settings.peer_listen is None:
-            tasks = [source.run]
+            tasks = [build_follower(core, rng).run]
         else:
-            membership = await build_membership(settings, core, source, rng)
+            membership = await build_membership(settings, core, rng)
+            store.spend = membership.outbox.spend
+            core.registry.register(MembershipCollector(membership))
             core.find_unsynced = partial(_find_unsynced, membership)
             tasks = [membership.run, partial(follow_members, core, membership)]
         tasks.append(PlacementTask(core, rng).run)
--- a/basilwinch/gateway/plain.py
+++ b/basilwinch/gateway/plain.py
@@ -1,5 +1,6 @@
 """Answers calls to plain services and questions about orders."""
 
+import time
 from collections.abc import Callable
 from functools import singledispatchmethod
 
@@ -25,16 +26,19 @@
     :param dispatcher: sends idempotent calls
     :param orders: runs non-idempotent calls at most once
     :param find_catalog: returns the state in force
+    :param wall_clock: returns seconds since the epoch
     """
 
-    __slots__ = ("_dispatcher", "_orders", "_find_catalog")
+    __slots__ = ("_dispatcher", "_orders", "_find_catalog", "_wall_clock")
 
     def __init__(
         self,
         dispatcher: ServiceDispatcher,
         orders: OrderRunner,
         find_catalog: Callable[[], Catalog],
+        wall_clock: Callable[[], float] = time.time,
     ):
+        self._wall_clock = wall_clock
         self._dispatcher = dispatcher
         self._orders = orders
         self._find_catalog = find_catalog
@@ -69,7 +73,7 @@
     async def _run_order(
         self, exchange, request_id: str, organisation: Organisation, service: str, call: ServiceCall
     ) -> Failure | None:
-        order_id = exchange.header(b"idempotency-key").strip() or request_id
+        order_id = exchange.header(b"idempotency-key").strip() or self._mint_id(request_id)
         if len(order_id) > MAX_ORDER_ID:
             return MALFORMED_REQUEST.because(f"Idempotency-Key is over {MAX_ORDER_ID} characters")
         servers = self._dispatcher.candidates(service, trio.current_time())
@@ -78,6 +82,10 @@
         await self._respond(outcome, exchange, order_id)
         return None
 
+    def _mint_id(self, request_id: str) -> str:
+        """Return an order id that carries its time; the record of one without is never dropped."""
+        return f"{self._wall_clock():.3f}-{request_id}"
+
     async def look_up(self, exchange: Exchange, organisation: Organisation) -> Failure | None:
         """Answer a question about an order under ``/orders/{id}``."""
         order_id = exchange.path.removeprefix("/orders/")
--- a/basilwinch/order/runner.py
+++ b/basilwinch/order/runner.py
@@ -96,6 +96,10 @@
         """Writes sent to the key-value service."""
         return self._writer.writes
 
+    def is_platform_reached(self) -> bool:
+        """Tell whether the last call to the key-value service succeeded."""
+        return self._contact.last_success is not None and self._contact.down_since is None
+
     async def maintain(self) -> None:
         """Write waiting outcomes and notice outages, until cancelled."""
         while True:
--- a/basilwinch/release/schema.py
+++ b/basilwinch/release/schema.py
@@ -143,6 +143,7 @@
 _DIGEST = _pattern("[0-9a-f]{64}", "a SHA-256 digest of 64 hexadecimal digits in lower case")
 _WORD = _pattern(r"\S(.{0,98}\S)?", "a text of 1 to 100 characters")
 _CALL = _pattern(r"[A-Z]+ /\S*", 'a method and a path prefix, such as "POST /orders"')
+_PATH = _pattern(r"/\S*|\{path\}\S*", 'a path such as "/orders/{order_id}"')
 _STAGE = _pattern(r"[^/]+/[^/]*/\d+/\d+", "a text model/version/first/end")
 
 KINDS = {
@@ -152,7 +153,11 @@
             "service",
             "services",
             Service,
-            {"kind": _choice(ServiceKind), "non_idempotent": _list_of(_CALL)},
+            {
+                "kind": _choice(ServiceKind),
+                "non_idempotent": _list_of(_CALL),
+                "order_query": lambda value: _PATH(value) if value != "" else "",
+            },
         ),
         Kind(
             "model",
--- a/basilwinch/scenario/actions.py
+++ b/basilwinch/scenario/actions.py
@@ -238,7 +238,8 @@
 
 @step("order NAME via NAME")
 async def order(world: World, name: str, vm: str) -> None:
-    """Send one order in the background."""
+    """Send one order in the background; a later expectation is about this sending."""
+    world.traffic.outcomes.pop(name, None)
     world.tasks.start_soon(world.traffic.order, name, vm)
 
 
@@ -346,7 +347,7 @@
 
     def done() -> bool:
         vms = [vm for vm in world.fleet.vms.values() if vm.serving and not vm.store.cut]
-        return all(name in vm.core.catalog.organisations for vm in vms)
+        return bool(vms) and all(name in vm.core.catalog.organisations for vm in vms)
 
     await _wait_for(world, done, f"{name} is not in effect everywhere", seconds)
 
--- a/basilwinch/scenario/fleet.py
+++ b/basilwinch/scenario/fleet.py
@@ -7,7 +7,7 @@
 
 from basilwinch.catalog import Catalog
 from basilwinch.daemon.connected import (
-    PlatformSource,
+    build_follower,
     connect_exchanges,
     follow_members,
 )
@@ -26,7 +26,13 @@
     VmStarted,
     VmStopped,
 )
-from basilwinch.membership import Keyring, Membership, MembershipConfig, MemoryNetwork
+from basilwinch.membership import (
+    Keyring,
+    Membership,
+    MembershipConfig,
+    MemoryNetwork,
+    ReleaseSource,
+)
 from basilwinch.observability import DecisionLog
 from basilwinch.release import Publisher, read_note
 from basilwinch.scenario.note import render_fleet
@@ -196,7 +202,7 @@
             core.replica,
             rng,
             core.log,
-            source=PlatformSource.from_config(store, core, rng),
+            source=ReleaseSource(store, build_follower(core, rng), core.replica),
         )
         connect_exchanges(core, membership)
         core.find_unsynced = lambda: _unready(membership)
--- /dev/null
+++ b/basilwinch/scenario/tests/test_mutation.py
@@ -0,0 +1,105 @@
+"""Plants a fault in the policy for each invariant; a scenario must catch it."""
+
+import pathlib
+
+import pytest
+
+from basilwinch.order import OrderNotRun
+from basilwinch.order.contact import PlatformContact
+from basilwinch.order.runner import OrderRunner
+from basilwinch.order.writer import ClaimWriter
+from basilwinch.pipeline import Chain, FrameChecker
+from basilwinch.relay.run import Run
+from basilwinch.release import Replica
+from basilwinch.routing import ChainRouter
+from basilwinch.scenario import read_scenario, run_scenario
+from basilwinch.standin import StandinEngines
+
+
+def drop_last_stage(patch):
+    """Route to chains that lack their last stage."""
+    choose = ChainRouter.choose
+
+    def choose_short(self, request, now):
+        choice = choose(self, request, now)
+        if choice and len(choice.chain.stages) > 1:
+            choice.chain = Chain(choice.chain.model, choice.chain.stages[:-1])
+        return choice
+
+    patch.setattr(ChainRouter, "choose", choose_short)
+
+
+def repeat_tokens_after_resume(patch):
+    """Pass every frame on, while engines start again from the first token."""
+    start = StandinEngines.start
+
+    def start_again(self, call, *args):
+        return start(self, call.replace(resume_from=0, tokens=()), *args)
+
+    patch.setattr(StandinEngines, "start", start_again)
+    patch.setattr(FrameChecker, "check", lambda self, frame: None)
+
+
+def call_lost_replies_not_run(patch):
+    """Tell callers that an order whose reply was lost was not run."""
+
+    async def settle(self, request, entry, failure):
+        return OrderNotRun(failure)
+
+    patch.setattr(OrderRunner, "_settle_sent", settle)
+
+
+def skip_claims(patch):
+    """Send orders without a claim in the key-value service."""
+
+    async def create(self, entry, *limits):
+        entry.written = True
+
+    patch.setattr(ClaimWriter, "create", create)
+    patch.setattr(PlatformContact, "is_doubtful", lambda self, issued: False)
+
+
+def ignore_leaving(patch):
+    """Go on sending to servers that leave."""
+    patch.setattr(ChainRouter, "mark_leaving", lambda self, server, now: None)
+    patch.setattr(ChainRouter, "finish", lambda self, choice, failure, now: None)
+
+
+def never_retry(patch):
+    """Give up a request at its first failure."""
+
+    async def recover(self, failure):
+        await self._end(failure)
+        self._relay.raise_failure(failure)
+
+    patch.setattr(Run, "_recover", recover)
+
+
+def forget_changes(patch):
+    """Take changes from peers without applying them."""
+    patch.setattr(Replica, "apply", lambda self, notes: True)
+
+
+FAULTS = {
+    "I1": (drop_last_stage, "i1-stage-dies"),
+    "I2": (repeat_tokens_after_resume, "i1-stage-dies"),
+    "I3": (call_lost_replies_not_run, "i4-lost-replies"),
+    "I4": (skip_claims, "i4-duplicates-through-all-vms"),
+    "I5": (ignore_leaving, "i5-leaving-server"),
+    "I6": (never_retry, "i6-graceful-shutdowns"),
+    "I7": (forget_changes, "i7-notes-under-loss"),
+}
+
+
+@pytest.mark.parametrize("invariant", FAULTS)
+def test_planted_fault_is_caught(invariant, monkeypatch):
+    """Guards against scenarios that pass whatever the policy does."""
+    plant, name = FAULTS[invariant]
+    scenario = read_scenario(pathlib.Path("scenarios") / f"{name}.txt")
+    with monkeypatch.context() as patch:
+        plant(patch)
+        verdict = run_scenario(scenario, 1)
+    assert not verdict.passed
+    found = {violation.invariant for violation in verdict.violations}
+    # A retry that is missing shows in the share of complete responses.
+    assert invariant in found or (invariant == "I6" and verdict.failure is not None)
