--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 STAMP = $(VENV)/.installed
 TREES = basilwinch bench
 
-.PHONY: all setup run test lint format bench bench-throughput bench-recovery bench-control bench-gateway soak
+.PHONY: all setup run test lint format bench bench-throughput bench-recovery bench-control bench-gateway soak pages
 
 all: test
 
@@ -45,3 +45,9 @@
 
 bench-gateway: setup
 	PYTHONHASHSEED=0 $(BIN)/python -m bench.gateway
+
+bench: setup
+	PYTHONHASHSEED=0 $(BIN)/python -m bench.summary
+
+pages: setup
+	$(BIN)/python -m bench.pages
