Estimate the wait in the fair queue from the real backlogs

The estimate of the wait counted every waiting organisation as backlogged all the time, so requests were refused that would have come in time. Ruled out: the shares themselves (the queue serves them in order). Change: up to 64 waiting organisations the estimate sums what each can take; beyond, it stays the constant-time bound. A link estimate is checked on both sides again.

--- a/basilwinch/admission/queue.py
+++ b/basilwinch/admission/queue.py
@@ -9,6 +9,8 @@
 
 # Weight of a new sample of the service time.
 _LEARN = 0.05
+# Up to this many waiting organisations the estimate is exact; beyond, it costs constant time.
+_EXACT_FLOWS = 64
 
 
 class Waiting:
@@ -150,11 +152,25 @@
             return 0.0
         flow = self._flows.get(entry.organisation)
         ahead = flow.tokens if flow else 0
-        shares = self._shares + (0.0 if ahead else entry.share)
-        # Its own backlog is served at its share; it waits no longer than for the whole queue.
-        tokens = min(ahead * shares / entry.share, self._tokens)
+        if len(self._flows) <= _EXACT_FLOWS:
+            tokens = self._count_served_before(ahead, entry)
+        else:
+            shares = self._shares + (0.0 if ahead else entry.share)
+            # Its own backlog is served at its share; it waits no longer than for the whole queue.
+            tokens = min(ahead * shares / entry.share, self._tokens)
         return (tokens + entry.tokens) * self._token_s / max(self.slots, 1)
 
+    def _count_served_before(self, ahead: float, entry: Waiting) -> float:
+        """Return the tokens that fair queueing serves before an organisation's own backlog ends.
+
+        An organisation with a short backlog takes no more than that. Counting it as backlogged all
+        the time made the estimate up to twice too long, and requests were refused that would have
+        come in time.
+        """
+        return sum(
+            min(flow.tokens, ahead * flow.share / entry.share) for flow in self._flows.values()
+        )
+
     def cancel(self, entry: Waiting) -> None:
         """Take a request out of the queue."""
         if entry.state == "queued":
--- a/basilwinch/routing/tests/test_graph.py
+++ b/basilwinch/routing/tests/test_graph.py
@@ -69,7 +69,8 @@
     link = links.find(ends[0], ends[1], 0.0)
     for step in range(100):
         links.learn([link], 0.06, 0.01, step * 0.01)
-    assert links.delay(ends[0], ends[1], 1.0) > 0.045
+    # The pull towards the usual delay and the calibration of the stages take some of it.
+    assert links.delay(ends[0], ends[1], 1.0) == pytest.approx(0.05, rel=0.1)
     assert links.delay(ends[0], ends[1], 200.0) < 0.03
     for target in ends[1:]:
         links.find(ends[2], target, 1.0)
