Let the tool take IP:PORT like the daemon

Cause: BASILWINCH_PLATFORM is IP:PORT for the daemon and was a URL for the tool, so one environment could not serve both. Change: the tool takes an address without a scheme for HTTP. Conclusion: one variable serves both programs.

--- a/basilwinch/cli/arguments.py
+++ b/basilwinch/cli/arguments.py
@@ -3,7 +3,15 @@
 import argparse
 import os
 
-__all__ = ["add_note_file", "add_nodes", "add_platform", "add_setting", "add_sub_command"]
+__all__ = [
+    "add_nodes",
+    "add_note_file",
+    "add_platform",
+    "add_setting",
+    "add_sub_command",
+    "add_switch",
+    "split_urls",
+]
 
 _TRUE = ("1", "true", "yes", "on")
 
@@ -47,16 +55,31 @@
     return parser
 
 
+def split_urls(text: str) -> list[str]:
+    """Return the URLs of a list with commas.
+
+    An address without a scheme is taken for HTTP, so that one ``BASILWINCH_PLATFORM`` serves the
+    daemon, which takes ``IP:PORT``, and the tool.
+
+    >>> split_urls("127.0.0.1:2379, https://10.0.0.2:2379/")
+    ['http://127.0.0.1:2379', 'https://10.0.0.2:2379']
+    """
+    parts = [part.strip().rstrip("/") for part in text.split(",") if part.strip()]
+    return [part if "://" in part else f"http://{part}" for part in parts]
+
+
 def add_platform(parser) -> None:
     """Add the settings of the key-value service."""
     default = "http://127.0.0.1:2379"
-    add_setting(parser, "--platform", default, "URLs of the key-value service, with commas.")
+    add_setting(
+        parser, "--platform", default, "Addresses or URLs of the key-value service, with commas."
+    )
     add_setting(parser, "--timeout", "5", "Seconds that one call may take.", _positive)
 
 
 def add_nodes(parser) -> None:
     """Add the setting that lists the nodes."""
-    add_setting(parser, "--nodes", "", "URLs of the nodes, with commas.")
+    add_setting(parser, "--nodes", "", "Addresses or URLs of the nodes, with commas.")
 
 
 def add_note_file(parser) -> None:
--- a/basilwinch/cli/context.py
+++ b/basilwinch/cli/context.py
@@ -4,6 +4,7 @@
 import time
 from contextlib import asynccontextmanager
 
+from basilwinch.cli.arguments import split_urls
 from basilwinch.cli.output import Output
 from basilwinch.platform import EtcdConfig, EtcdStore
 
@@ -33,6 +34,6 @@
         if self._store is not None:
             yield self._store
             return
-        endpoints = tuple(filter(None, map(str.strip, args.platform.split(","))))
+        endpoints = tuple(split_urls(args.platform))
         async with EtcdStore.from_config(EtcdConfig(endpoints, args.timeout)) as store:
             yield store
--- a/basilwinch/cli/nodes.py
+++ b/basilwinch/cli/nodes.py
@@ -5,6 +5,7 @@
 import httpcore
 import trio
 
+from basilwinch.cli.arguments import split_urls
 from basilwinch.exception import INVALID_SETTING, NOT_IN_EFFECT, Failure
 
 __all__ = ["parse_nodes", "read_revisions", "wait_for_revision"]
@@ -16,7 +17,7 @@
 
 def parse_nodes(text: str) -> list[str] | Failure:
     """Return the URLs of a setting, or ``INVALID_SETTING`` if there are none."""
-    urls = [url.strip().rstrip("/") for url in text.split(",") if url.strip()]
+    urls = split_urls(text)
     if not urls:
         return INVALID_SETTING.because("name the nodes with --nodes or BASILWINCH_NODES")
     return urls
