--- a/basilwinch/daemon/connected.py
+++ b/basilwinch/daemon/connected.py
@@ -13,10 +13,13 @@
 from basilwinch.membership import (
     Keyring,
     Membership,
+    MembershipCollector,
     MembershipConfig,
+    MeteredStore,
     ReleaseSource,
     UdpTransport,
 )
+from basilwinch.platform import KeyValueStore
 from basilwinch.release import Follower, FollowerConfig
 from basilwinch.settings import Settings
 
@@ -25,9 +28,9 @@
 MEMBERS_EVERY_S = 1.0
 
 
-def build_follower(core: NodeCore, rng: random.Random) -> Follower:
+def build_follower(core: NodeCore, store: KeyValueStore, rng: random.Random) -> Follower:
     """Build what brings the replica of a node to the head of the platform."""
-    return Follower(FollowerConfig(), core.outside.store, core.replica, rng)
+    return Follower(FollowerConfig(), store, core.replica, rng)
 
 
 async def build_membership(settings: Settings, core: NodeCore, rng: random.Random) -> Membership:
@@ -49,10 +52,14 @@
         life=_draw_life(),
     )
     transport = await UdpTransport.bind(address)
-    source = ReleaseSource(core.outside.store, build_follower(core, rng), core.replica)
+    # Only the spread of revisions is control traffic; orders and placement use the store directly.
+    store = MeteredStore(core.outside.store)
+    source = ReleaseSource(store, build_follower(core, store, rng), core.replica)
     membership = Membership.from_config(
         config, transport, core.replica, rng, core.log, source=source
     )
+    store.spend = membership.outbox.spend
+    core.registry.register(MembershipCollector(membership))
     connect_exchanges(core, membership)
     return membership
 
--- a/basilwinch/daemon/node.py
+++ b/basilwinch/daemon/node.py
@@ -24,7 +24,7 @@
     PlainHandler,
     RequestIds,
 )
-from basilwinch.membership import Membership, MembershipCollector, MeteredStore
+from basilwinch.membership import Membership
 from basilwinch.platform.etcd import EtcdConfig, EtcdStore
 from basilwinch.release import Publisher, ReleaseNote, State, read_note_file
 from basilwinch.server import HttpEngineClient, HttpServiceClient
@@ -70,18 +70,16 @@
     async def _connected(cls, settings: Settings, rng: random.Random) -> "Node":
         ip, port = settings.platform
         host = f"[{ip}]" if ":" in ip else ip
-        store = MeteredStore(EtcdStore.from_config(EtcdConfig((f"http://{host}:{port}",))))
+        store = EtcdStore.from_config(EtcdConfig((f"http://{host}:{port}",)))
         find_server = _ServerLookup()
         engines = HttpEngineClient.from_config(find_server, settings.slots)
         services = HttpServiceClient.from_config(settings.slots)
         core = _build_core(settings, Outside(store, engines, services))
         find_server.core = core
         if settings.peer_listen is None:
-            tasks = [build_follower(core, rng).run]
+            tasks = [build_follower(core, store, rng).run]
         else:
             membership = await build_membership(settings, core, rng)
-            store.spend = membership.outbox.spend
-            core.registry.register(MembershipCollector(membership))
             core.find_unsynced = partial(_find_unsynced, membership)
             tasks = [membership.run, partial(follow_members, core, membership)]
         tasks.append(PlacementTask(core, rng).run)
--- a/basilwinch/scenario/fleet.py
+++ b/basilwinch/scenario/fleet.py
@@ -202,7 +202,7 @@
             core.replica,
             rng,
             core.log,
-            source=ReleaseSource(store, build_follower(core, rng), core.replica),
+            source=ReleaseSource(store, build_follower(core, store, rng), core.replica),
         )
         connect_exchanges(core, membership)
         core.find_unsynced = lambda: _unready(membership)
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -7,6 +7,7 @@
 import signal
 import subprocess
 import sys
+import threading
 import time
 import urllib.error
 import urllib.request
@@ -29,6 +30,7 @@
         self.platform = f"127.0.0.1:{base_port}"
         self._base = base_port
         self._children: dict[str, subprocess.Popen] = {}
+        self._pause = threading.Event()
 
     def start(self, name: str, *arguments: str) -> None:
         """Start a module of this package with the running interpreter."""
@@ -84,7 +86,7 @@
         while time.monotonic() < end:
             if read_json(f"http://{address}/admin/state").get("stages"):
                 return
-            time.sleep(0.2)
+            self._pause.wait(0.2)
         raise TimeoutError(f"{address} does not serve after {READY_S:g} s")
 
     def signal(self, name: str, number: int) -> None:
