Answer no_chain for a model that is not placed yet; say goodbye when stopping

Cause: the process test failed once with unknown_model: between two placement notes a model of the catalog had no stages, and callers got 404 instead of a retryable 503. Also a stopped node did not tell its peers, so orders in an outage were unknown for 10 minutes after each replacement of a VM. Change: the router tells a model without stages from one that does not exist; the daemon leaves and stops its membership; a node that said that it leaves does not count as one that may reach the platform. The test waits for its model.

--- a/basilwinch/daemon/exchange.py
+++ b/basilwinch/daemon/exchange.py
@@ -1,6 +1,7 @@
 """What nodes tell each other besides revisions: suspects, leaving servers, platform contact."""
 
 import math
+from collections.abc import Callable
 
 import trio
 
@@ -155,16 +156,18 @@
     A node that is cut off alone must not take its own isolation for an outage.
 
     :param orders: orders of this node, which know of the last successful call
+    :param has_left: tells whether a node by its name said that it leaves; it takes no new orders
     """
 
-    __slots__ = ("_orders", "_heard")
+    __slots__ = ("_orders", "_has_left", "_heard")
 
     kind = 4
     # A report takes three bytes.
     bytes_per_s = 60.0
 
-    def __init__(self, orders: OrderRunner):
+    def __init__(self, orders: OrderRunner, has_left: Callable[[str], bool]):
         self._orders = orders
+        self._has_left = has_left
         #: By node: when it was heard, and whether it reached the platform then.
         self._heard: dict[str, tuple[float, bool]] = {}
 
@@ -185,6 +188,6 @@
         self._heard = {
             node: report
             for node, report in self._heard.items()
-            if now - report[0] <= CONTACT_FORGET_S
+            if now - report[0] <= CONTACT_FORGET_S and not self._has_left(node)
         }
         return any(reached or now - at > CONTACT_FRESH_S for at, reached in self._heard.values())
--- a/basilwinch/daemon/node.py
+++ b/basilwinch/daemon/node.py
@@ -41,7 +41,7 @@
     :param gateway: ASGI application
     """
 
-    __slots__ = ("settings", "core", "gateway", "tasks", "_log")
+    __slots__ = ("settings", "core", "gateway", "tasks", "membership", "_log")
 
     def __init__(self, settings: Settings, core: NodeCore, gateway: Gateway, tasks):
         self.settings = settings
@@ -49,6 +49,8 @@
         self.gateway = gateway
         #: Background tasks, each an async function without arguments.
         self.tasks = [*tasks, core.run, core.orders.maintain]
+        #: Membership among the nodes, None for a node on its own.
+        self.membership: Membership | None = None
         self._log = structlog.get_logger("daemon")
 
     @classmethod
@@ -76,6 +78,7 @@
         services = HttpServiceClient.from_config(settings.slots)
         core = _build_core(settings, Outside(store, engines, services))
         find_server.core = core
+        membership = None
         if settings.peer_listen is None:
             tasks = [build_follower(core, store, rng).run]
         else:
@@ -83,7 +86,9 @@
             core.find_unsynced = partial(_find_unsynced, membership)
             tasks = [membership.run, partial(follow_members, core, membership)]
         tasks.append(PlacementTask(core, rng).run)
-        return cls(settings, core, _build_gateway(settings, core), tasks)
+        node = cls(settings, core, _build_gateway(settings, core), tasks)
+        node.membership = membership
+        return node
 
     @classmethod
     async def _embedded(cls, settings: Settings, rng: random.Random) -> "Node":
@@ -113,10 +118,14 @@
             )
             self._log.info("serving", addresses=bound, revision=self.core.catalog.revision)
             await wait_for_signal()
+            if self.membership is not None:
+                await self.membership.leave()
             done = await drain_gateway(
                 self.gateway, self.settings.drain_delay, self.settings.drain_timeout
             )
             await self.core.orders.flush()
+            if self.membership is not None:
+                await self.membership.stop()
             self._log.info("stopped", drained=done, open=self.gateway.open)
             shutdown.set()
             nursery.cancel_scope.cancel()
--- a/basilwinch/membership/membership.py
+++ b/basilwinch/membership/membership.py
@@ -147,6 +147,11 @@
         """Return the nodes that are not dead, this one included, ordered by name."""
         return [entry.to_member() for entry in self.roster.members()]
 
+    def has_left(self, name: str) -> bool:
+        """Tell whether a node said itself that it leaves; a node that died did not."""
+        entry = self.roster.entries.get(node_id(name))
+        return entry is not None and entry.leaving
+
     def is_watcher(self, now: float) -> bool:
         """Tell whether this node is among those of its zone that watch the platform. Linear in the
         number of nodes after a change of the roster, else constant."""
--- a/basilwinch/routing/router.py
+++ b/basilwinch/routing/router.py
@@ -1,5 +1,7 @@
 """The router: a chain for each request, and what frames and failures teach about chains."""
 
+from collections.abc import Mapping
+
 from basilwinch.catalog import Catalog, ServerState
 from basilwinch.exception import (
     DEADLINE_UNREACHABLE,
@@ -34,7 +36,7 @@
     :param log: where decisions go
     """
 
-    __slots__ = ("_config", "_log", "_fleet", "_paths", "_prefill_s", "_nodes")
+    __slots__ = ("_config", "_log", "_fleet", "_paths", "_prefill_s", "_nodes", "_models")
 
     def __init__(self, config: RoutingConfig, rng, log: DecisionLog):
         self._config = config
@@ -44,6 +46,7 @@
         #: Seconds of one prompt token on a whole chain, learnt from first tokens.
         self._prefill_s = 0.0
         self._nodes = max(1, config.nodes)
+        self._models: Mapping = {}
 
     @classmethod
     def from_config(cls, config: RoutingConfig, rng, log: DecisionLog) -> "ChainRouter":
@@ -59,6 +62,7 @@
 
     def update(self, catalog: Catalog, placements: dict, now: float) -> None:
         """Take over the state in effect. Linear in the number of servers and stages."""
+        self._models = catalog.models
         self._fleet.update(catalog, placements, now)
 
     def set_nodes(self, nodes: int) -> None:
@@ -99,6 +103,9 @@
             depends on the number of stages in a chain, not on the number of servers.
         """
         graph = self._fleet.graph(request.model)
+        if graph is None and request.model in self._models:
+            reason = f"{request.model} is not placed yet"
+            return self._refuse(request, NO_CHAIN.because(reason, retry_after=1.0))
         if graph is None:
             return self._refuse(request, UNKNOWN_MODEL.because(f"no model {request.model!r}"))
         found = self._paths.find(graph, request, now)
--- a/basilwinch/routing/tests/test_router.py
+++ b/basilwinch/routing/tests/test_router.py
@@ -196,6 +196,9 @@
 def test_failures_have_a_type(router):
     """Guards against a choice where there is none, and late refusals."""
     assert router.choose(request(model="x"), 0.0).kind is UNKNOWN_MODEL
+    models = {name: router._models["m"].replace(name=name) for name in ("m", "unplaced")}
+    router._models = models
+    assert router.choose(request(model="unplaced"), 0.0).kind is NO_CHAIN
     everything = frozenset(f"a{number}" for number in range(4))
     assert router.choose(request(avoid=everything), 0.0).kind is NO_CHAIN
     late = request(max_tokens=1000, deadline_s=0.5)
--- a/bench/gateway.py
+++ b/bench/gateway.py
@@ -87,7 +87,7 @@
         processes.start_standins()
         address = processes.start_node(1)
         processes.publish()
-        processes.wait_serving(address)
+        processes.wait_serving(address, MODEL)
         direct, routed = trio.run(measure_first_tokens, address, processes.platform)
         reporter, tokens_per_core = trio.run(measure_throughput, address)
     print(f"{'first token':<16}{'p50 ms':>10}{'p95 ms':>10}")
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -77,14 +77,14 @@
         platform = ["--platform", f"http://{self.platform}"]
         subprocess.run([sys.executable, *tool, *platform], check=True, stdout=subprocess.DEVNULL)
 
-    def wait_serving(self, address: str) -> None:
-        """Wait until a node answers model requests.
+    def wait_serving(self, address: str, model: str) -> None:
+        """Wait until a node answers requests to a model.
 
         :raises TimeoutError: after ``READY_S``
         """
         end = time.monotonic() + READY_S
         while time.monotonic() < end:
-            if read_json(f"http://{address}/admin/state").get("stages"):
+            if model in read_json(f"http://{address}/admin/state").get("stages", ()):
                 return
             self._pause.wait(0.2)
         raise TimeoutError(f"{address} does not serve after {READY_S:g} s")
--- a/bench/tests/test_processes.py
+++ b/bench/tests/test_processes.py
@@ -9,6 +9,7 @@
 from bench.processes import KEY, Processes
 
 BASE_PORT = 18600
+MODEL = "lekha-small"
 
 
 @pytest.fixture
@@ -20,7 +21,7 @@
 
 async def run_load(address, seconds, reporter):
     caller = Caller.from_config(address, 256, 30.0)
-    config = LoadConfig((KEY,), "lekha-small", 8.0, seconds, 20, 0.25, "/services/orderdesk/orders")
+    config = LoadConfig((KEY,), MODEL, 8.0, seconds, 20, 0.25, "/services/orderdesk/orders")
     await generate_load(config, caller, reporter, None)
     await caller.close()
 
@@ -30,8 +31,8 @@
     and a stop that cuts streams."""
     first, second = processes.start_node(1), processes.start_node(2)
     processes.publish()
-    processes.wait_serving(first)
-    processes.wait_serving(second)
+    processes.wait_serving(first, MODEL)
+    processes.wait_serving(second, MODEL)
     others, stopped, after = LoadReporter(), LoadReporter(), LoadReporter()
 
     async def scenario():
@@ -41,7 +42,7 @@
             processes.signal("node1", signal.SIGKILL)
             processes.wait("node1", 10)
             processes.start_node(1)
-            await trio.to_thread.run_sync(processes.wait_serving, first)
+            await trio.to_thread.run_sync(processes.wait_serving, first, MODEL)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(run_load, second, 2.0, stopped)
             await trio.sleep(2.0)
