--- a/basilwinch/cli/commands/status.py
+++ b/basilwinch/cli/commands/status.py
@@ -6,7 +6,7 @@
 from basilwinch.cli.output import describe_note
 from basilwinch.cli.text import format_note
 from basilwinch.exception import UNKNOWN_REVISION
-from basilwinch.release import State, load_state, read_recent
+from basilwinch.release import State, Verb, load_state, read_recent
 from basilwinch.release.reinstate import compare_states
 
 __all__ = ["add_parser", "run"]
@@ -40,7 +40,12 @@
     counts = {section: len(getattr(state.catalog, section)) for section in SECTIONS}
     nodes = await read_revisions(parse_nodes(args.nodes)) if args.nodes else {}
     lines = [describe_note(recent[-1]) if recent else f"revision {state.revision.number}"]
-    lines.append(", ".join(f"{count} {section}" for section, count in counts.items()))
+    verbs = {verb.value: 0 for verb in Verb}
+    for change in recent[-1].changes if recent else ():
+        verbs[Verb(change.verb).value] += 1
+    lines.append("last note: " + ", ".join(f"{n} {verb}" for verb, n in verbs.items()))
+    held = ", ".join(f"{count} {section}" for section, count in counts.items())
+    lines.append(f"in effect: added {held} (all as a note: --entries)")
     for url, held in nodes.items():
         lines.append(f"{url}: " + ("no response" if held is None else f"revision {held}"))
     return context.output.succeed(
@@ -48,6 +53,7 @@
         revision=state.revision.number,
         note=recent[-1].note if recent else "",
         entries=counts,
+        last_note=verbs,
         nodes=nodes,
     )
 
--- a/basilwinch/cli/tests/test_program.py
+++ b/basilwinch/cli/tests/test_program.py
@@ -64,6 +64,9 @@
     assert code == 0 and "accepted as revision 3" in text
     _, result = tool("status", "--json")
     assert result["revision"] == 3 and result["entries"]["servers"] == 36
+    assert result["last_note"] == {"added": 0, "changed": 0, "withdrawn": 1}
+    _, text = tool("status")
+    assert "last note: 0 added, 0 changed, 1 withdrawn" in text and "in effect: added" in text
     _, result = tool("history", "--json")
     assert [note["revision"] for note in result["notes"]] == [3, 2, 1]
     code, text = tool("show", "3")
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -5,6 +5,7 @@
 import os
 import pathlib
 import signal
+import socket
 import subprocess
 import sys
 import threading
@@ -69,14 +70,25 @@
         return address
 
     def publish(self, note: str = "examples/first.toml") -> None:
-        """Publish a release note.
+        """Publish a release note once the platform listens.
 
+        :raises TimeoutError: if the platform does not listen after ``READY_S``
         :raises subprocess.CalledProcessError: if it is not accepted
         """
+        self._wait_listening(self.platform)
         tool = ["-m", "basilwinch.cli.program", "publish", note]
         platform = ["--platform", f"http://{self.platform}"]
         subprocess.run([sys.executable, *tool, *platform], check=True, stdout=subprocess.DEVNULL)
 
+    def _wait_listening(self, address: str) -> None:
+        host, _, port = address.rpartition(":")
+        end = time.monotonic() + READY_S
+        while time.monotonic() < end:
+            with contextlib.suppress(OSError), socket.create_connection((host, int(port)), 1.0):
+                return
+            self._pause.wait(0.1)
+        raise TimeoutError(f"{address} does not listen after {READY_S:g} s")
+
     def wait_serving(self, address: str, model: str) -> None:
         """Wait until a node answers requests to a model.
 
