Say why the claim of an isolated run is given back on cancellation

Cause: the broad except looked like a swallowed error; it cleans up and raises again. Change: a comment, no code. Measured: lint clean, relay tests pass.

--- a/basilwinch/relay/suspect.py
+++ b/basilwinch/relay/suspect.py
@@ -317,6 +317,7 @@
         try:
             await trio.sleep(self._config.settle_s)
         except BaseException:
+            # Also a cancelled caller must give its claim back, or no node may test the request.
             self._end_test(digest, request)
             raise
         if evidence.tester(trio.current_time()) == node and not evidence.is_convicted():
