--- /dev/null
+++ b/basilwinch/chains/__init__.py
@@ -0,0 +1,7 @@
+"""Chains of servers that together hold a model: layout, paths, load and the orders to hold layers."""
+
+from basilwinch.chains.layout import Member, plan_chains
+from basilwinch.chains.load import FleetLoad
+from basilwinch.chains.path import PathFinder
+
+__all__ = ["FleetLoad", "Member", "PathFinder", "plan_chains"]
--- a/basilwinch/cli/context.py
+++ b/basilwinch/cli/context.py
@@ -6,7 +6,7 @@
 
 from basilwinch.cli.arguments import split_urls
 from basilwinch.cli.output import Output
-from basilwinch.platform import EtcdConfig, EtcdStore
+from basilwinch.store.etcd import EtcdConfig, EtcdStore
 
 __all__ = ["Context"]
 
--- a/basilwinch/daemon/connected.py
+++ b/basilwinch/daemon/connected.py
@@ -19,7 +19,7 @@
     ReleaseSource,
     UdpTransport,
 )
-from basilwinch.platform import KeyValueStore
+from basilwinch.store import KeyValueStore
 from basilwinch.release import Follower, FollowerConfig
 from basilwinch.settings import Settings
 
--- a/basilwinch/daemon/node.py
+++ b/basilwinch/daemon/node.py
@@ -25,7 +25,7 @@
     RequestIds,
 )
 from basilwinch.membership import Membership
-from basilwinch.platform.etcd import EtcdConfig, EtcdStore
+from basilwinch.store.etcd import EtcdConfig, EtcdStore
 from basilwinch.release import Publisher, ReleaseNote, State, read_note_file
 from basilwinch.server import HttpEngineClient, HttpServiceClient
 from basilwinch.settings import Settings
--- /dev/null
+++ b/basilwinch/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry node: the process between callers and backend servers."""
--- /dev/null
+++ b/basilwinch/entry/metrics.py
@@ -0,0 +1,53 @@
+"""Metrics of an entry node."""
+
+import prometheus_client
+
+__all__ = ["Metrics"]
+
+_BUCKETS_S = (0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 10.0, 30.0)
+
+
+class Metrics:
+    """Counters and histograms; no label has more values than there are kinds and outcomes."""
+
+    __slots__ = ("registry", "_requests", "_durations", "_age", "_servers")
+
+    def __init__(self):
+        self.registry = prometheus_client.CollectorRegistry()
+        self._requests = prometheus_client.Counter(
+            "basilwinch_requests",
+            "Requests by kind of route and outcome",
+            ["kind", "outcome"],
+            registry=self.registry,
+        )
+        self._durations = prometheus_client.Histogram(
+            "basilwinch_request_seconds",
+            "Time from the whole request to the end of its answer, in seconds",
+            ["kind"],
+            buckets=_BUCKETS_S,
+            registry=self.registry,
+        )
+        self._age = prometheus_client.Gauge(
+            "basilwinch_view_age_seconds",
+            "Seconds since the view was known to be complete",
+            registry=self.registry,
+        )
+        self._servers = prometheus_client.Gauge(
+            "basilwinch_servers",
+            "Registered backend servers",
+            registry=self.registry,
+        )
+
+    def watch_view(self, view, clock) -> None:
+        """Take the gauges from a view when they are read."""
+        self._age.set_function(lambda: view.age(clock()))
+        self._servers.set_function(lambda: len(view.servers))
+
+    def count_request(self, kind: str, outcome: str, duration_s: float) -> None:
+        """Count a request."""
+        self._requests.labels(kind, outcome).inc()
+        self._durations.labels(kind).observe(duration_s)
+
+    def render(self) -> bytes:
+        """Return the text that is served on the metrics address."""
+        return prometheus_client.generate_latest(self.registry)
--- /dev/null
+++ b/basilwinch/entry/node.py
@@ -0,0 +1,187 @@
+"""An entry node: its parts and their start and stop."""
+
+import random
+import signal
+import socket
+
+import structlog
+import trio
+
+from basilwinch.chains import FleetLoad, PathFinder
+from basilwinch.chains.keeper import Keeper
+from basilwinch.entry.metrics import Metrics
+from basilwinch.entry.settings import EntrySettings
+from basilwinch.forward.budget import RetryBudget
+from basilwinch.forward.forwarder import Forwarder
+from basilwinch.forward.plain import PlainForwarder
+from basilwinch.forward.selection import ServerSelection
+from basilwinch.forward.services import Services
+from basilwinch.forward.stream import StreamForwarder
+from basilwinch.lease import LeaseConfig, LeaseHolder
+from basilwinch.peers.exchange import NODES_PREFIX, PeerExchange
+from basilwinch.view import CallerLimits, View
+from basilwinch.view.followed import FollowedStore
+from basilwinch.view.follower import Follower, ViewSource
+from basilwinch.wire import CallerConnection, ConnectionPool
+
+__all__ = ["EntryNode"]
+
+_CONNECT_TIMEOUT_S = 0.4  # a round trip takes under 2 ms; a lost packet is sent again after 1 s
+_KEEP_S = 4.0  # idle connections to servers; servers state no more than a few seconds
+_MOST_IDLE = 16  # idle connections to one server
+_BACKLOG = 1024
+_READY_AGE_S = 3.0  # a node with an older view takes no new callers
+_STOP_ACCEPT_S = 3.0  # callers come until the balancer has missed two answers, one a second
+_STOP_MARGIN_S = 1.0  # before the kill
+_SWEEP_S = 1.0
+_LEASE_S = 4.0
+_LEASE_MARGIN_S = 1.0
+_USER_TIMEOUT_MS = 5000
+
+
+class EntryNode:
+    """One process between callers and servers.
+
+    :param settings: :class:`~basilwinch.entry.settings.EntrySettings`
+    :param store: metadata store
+    :param source: where the view comes from
+    :param dialect: spelling of header fields
+    :param seed: seed of random choices
+    """
+
+    def __init__(self, settings: EntrySettings, store, source, dialect, seed: int):
+        rng = random.Random(seed)
+        clock = trio.current_time
+        bounds = settings.bounds
+        self._settings = settings
+        self._log = structlog.get_logger("node")
+        self._stopping = False
+        self._connections: set[CallerConnection] = set()
+        self.view = View()
+        self.metrics = Metrics()
+        self.load = FleetLoad(clock)
+        self._pool = ConnectionPool(clock, _CONNECT_TIMEOUT_S, _KEEP_S, _MOST_IDLE)
+        self._store = FollowedStore(store)
+        self._peers = PeerExchange(
+            settings.name, settings.ip, settings.peer_port, self._store, self.load, rng
+        )
+        self._follower = Follower(source, self.view, rng)
+        self._follower.on_key = self._take_key
+        selection = ServerSelection(settings.zone, clock, rng)
+        nodes = self._count_nodes
+        budget = RetryBudget(
+            bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s, nodes, clock
+        )
+        finder = PathFinder(self.load)
+        self._selection = selection
+        services = Services(self.view, self._pool, dialect, selection, budget, self.load, finder)
+        self._forwarder = Forwarder(
+            services,
+            PlainForwarder(services),
+            StreamForwarder(services, rng),
+            bounds,
+            rng,
+            self.metrics,
+        )
+        self._keeper = Keeper(self.view, self._store, dialect, self._pool, self.load)
+        config = LeaseConfig("layout", settings.name, _LEASE_S, _LEASE_MARGIN_S, 0.0)
+        self._lease = LeaseHolder.from_config(config, self._store, rng)
+
+    @classmethod
+    def from_config(cls, settings, store, source: ViewSource, dialect, seed: int) -> "EntryNode":
+        """Build a node from its settings."""
+        return cls(settings, store, source, dialect, seed)
+
+    async def run(self) -> None:
+        """Serve until a signal asks to stop."""
+        self.metrics.watch_view(self.view, trio.current_time)
+        settings = self._settings
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._listen, settings.ready, self._answer_ready)
+            nursery.start_soon(self._listen, settings.metrics, self._answer_metrics)
+            nursery.start_soon(self._follower.run)
+            nursery.start_soon(self._peers.run)
+            nursery.start_soon(self._sweep)
+            nursery.start_soon(self._lease.run, self._keeper.run)
+            nursery.start_soon(self._listen, settings.front, self._forwarder.handle)
+            self._log.info("started", node=settings.name, front=str(settings.front))
+            await self._wait_for_signal()
+            nursery.cancel_scope.cancel()
+        self._log.info("stopped", node=settings.name)
+
+    async def _wait_for_signal(self) -> None:
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+            async for number in signals:
+                if number != signal.SIGHUP:
+                    await self._drain()
+                    return
+                # Every setting is fixed for the life of a process; the file only repeats them.
+                self._log.info("settings reloaded", changed=[])
+
+    async def _drain(self) -> None:
+        """Serve what has begun, and take no more callers."""
+        self._stopping = True
+        start = trio.current_time()
+        end = start + self._settings.bounds.grace_s - _STOP_MARGIN_S
+        self._log.info("stopping", connections=len(self._connections))
+        for connection in list(self._connections):
+            connection.close_when_idle()
+        while trio.current_time() < end:
+            accepted = trio.current_time() < start + _STOP_ACCEPT_S
+            if not self._connections and not accepted:
+                break
+            await trio.sleep(0.05)
+        self._log.info("drained", left=len(self._connections))
+
+    async def _listen(self, address, handle) -> None:
+        listeners = await trio.open_tcp_listeners(
+            address.port, host=address.host, backlog=_BACKLOG
+        )
+
+        async def serve(stream):
+            stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS)
+            connection = CallerConnection(stream, handle, self._limits)
+            front = handle == self._forwarder.handle
+            if front:
+                self._connections.add(connection)
+                if self._stopping:
+                    connection.close_after_next()
+            try:
+                await connection.run()
+            finally:
+                self._connections.discard(connection)
+
+        await trio.serve_listeners(serve, listeners)
+
+    async def _answer_ready(self, exchange) -> None:
+        await exchange.respond(200 if self._is_ready() else 503, [], b"")
+
+    async def _answer_metrics(self, exchange) -> None:
+        header = [(b"Content-Type", b"text/plain; version=0.0.4")]
+        await exchange.respond(200, header, self.metrics.render())
+
+    def _is_ready(self) -> bool:
+        if self._stopping or self.view.configuration is None:
+            return False
+        return self.view.age(trio.current_time()) < _READY_AGE_S
+
+    def _limits(self) -> CallerLimits:
+        configuration = self.view.configuration
+        return configuration.limits if configuration else CallerLimits()
+
+    def _take_key(self, key: str, value: bytes | None, revision: int) -> None:
+        self._store.publish(key, value, revision)
+        if key.startswith(NODES_PREFIX):
+            self._peers.apply(key, value)
+
+    def _count_nodes(self) -> int:
+        return self._peers.nodes
+
+    async def _sweep(self) -> None:
+        """Drop what belongs to servers that are gone."""
+        while True:
+            await trio.sleep(_SWEEP_S)
+            self._pool.sweep()
+            self.load.forget(self.view.servers)
+            self._selection.forget(self.view.servers)
--- a/basilwinch/exception.py
+++ b/basilwinch/exception.py
@@ -177,6 +177,14 @@
 SERVER_UNREACHABLE = FailureKind(
     "server_unreachable", 502, "No connection; the call was certainly not sent.", True
 )
+NO_SERVER = FailureKind("no_server", 503, "No server of the service can take the request.", True)
+NO_CONFIGURATION = FailureKind("no_configuration", 503, "No configuration has been read yet.", True)
+STALE_CONFIGURATION = FailureKind(
+    "stale_configuration", 503, "The configuration could not be confirmed lately.", True
+)
+BUDGET_SPENT = FailureKind("budget_spent", 503, "The budget of repeats is spent.", True)
+OUTCOME_UNKNOWN = FailureKind("outcome_unknown", 502, "The request may have run.")
+HEADER_TOO_LARGE = FailureKind("header_too_large", 431, "The request header is over the limit.")
 FENCED = FailureKind("fenced", 409, "The fencing number is old.")
 
 # Platform.
--- /dev/null
+++ b/basilwinch/forward/__init__.py
@@ -0,0 +1,1 @@
+"""Forwarding of requests to backend servers."""
--- /dev/null
+++ b/basilwinch/forward/services.py
@@ -0,0 +1,58 @@
+"""What all forwarders share."""
+
+import trio
+
+from basilwinch.forward.context import Context
+
+__all__ = ["Services"]
+
+
+class Services:
+    """Shared parts of the forwarders.
+
+    :param view: :class:`~basilwinch.view.View`
+    :param pool: connections to servers
+    :param dialect: spelling of header fields
+    :param selection: :class:`~basilwinch.forward.selection.ServerSelection`
+    :param budget: :class:`~basilwinch.forward.budget.RetryBudget`
+    :param load: :class:`~basilwinch.chains.load.FleetLoad`
+    :param finder: :class:`~basilwinch.chains.path.PathFinder`
+    """
+
+    __slots__ = ("view", "pool", "dialect", "selection", "budget", "load", "finder", "freed")
+
+    def __init__(self, view, pool, dialect, selection, budget, load, finder):
+        self.view = view
+        self.pool = pool
+        self.dialect = dialect
+        self.selection = selection
+        self.budget = budget
+        self.load = load
+        self.finder = finder
+        self.freed = trio.Event()
+
+    def choose(self, context: Context, tried):
+        """Return a plain server that has not been tried, or None."""
+        return self.selection.choose(self.servers(context), tried)
+
+    def servers(self, context: Context) -> list:
+        """Return the servers of a request's service."""
+        return self.view.by_service.get(context.service.name, [])
+
+    def announce_room(self) -> None:
+        """Wake the requests that wait for room."""
+        self.freed.set()
+        self.freed = trio.Event()
+
+    def note_keep_alive(self, connection, response) -> bool:
+        """Note how long the server keeps the connection; return whether it does at all."""
+        for name, value in response.headers:
+            if name == b"connection" and b"close" in value.lower():
+                return False
+            if name == b"keep-alive":
+                for part in value.split(b","):
+                    field, _, number = part.strip().partition(b"=")
+                    if field.lower() == b"timeout" and number.isdigit():
+                        # Half of it, since the server's clock started earlier.
+                        connection.keep_s = int(number) / 2
+        return True
--- /dev/null
+++ b/basilwinch/forward/stream.py
@@ -0,0 +1,344 @@
+"""Forwarding of streams over chains of servers, with resumption."""
+
+import json
+
+import structlog
+import trio
+
+from basilwinch.exception import (
+    BUDGET_SPENT,
+    DEADLINE_EXCEEDED,
+    NO_CHAIN,
+    OUTCOME_UNKNOWN,
+    QUEUE_FULL,
+    STREAM_LOST,
+    Failure,
+    ServerError,
+)
+from basilwinch.forward.context import Context
+from basilwinch.forward.events import EventSplitter, read_event_id
+from basilwinch.forward.outcome import Answered, Broken, NotRun
+
+__all__ = ["StreamForwarder"]
+
+_WAIT_PART = 0.5  # of the objective: longest wait for room
+_HINT_PART = 1.2  # of the caller's estimate: tokens that are reserved
+_USUAL_OUTPUT = 200  # tokens that are reserved if the caller says nothing
+# A chain that gives no event for this long is asked whether it stalls.
+_LEAST_SILENCE_S = 0.12
+_SILENCE_PASSES = 3.0  # or for so many times its estimated pass
+_READ_PASSES = 3.0
+_REPORT_S = 0.15  # wait for a head's report; it answers without a slot
+# A chain that is silent for this part of the time after which callers leave is given up.
+_GIVE_UP_PART = 0.5
+_CALLER_PATIENCE_S = 2.0  # callers leave after a gap of at least this
+_BODY_BYTES = 1 << 20
+_ANSWER_MARGIN_S = 0.03
+_ATTEMPTS = 4  # paths tried for a response that hasn't begun; each counts against the budget
+_RETRY_AFTER_S = (0.5, 2.0)  # spread, so that callers don't return together
+
+
+class StreamForwarder:
+    """Relays a stream and resumes it at another chain when its chain fails.
+
+    :param services: shared :class:`~basilwinch.forward.services.Services`
+    :param rng: random numbers for the spread of Retry-After
+    """
+
+    __slots__ = ("_services", "_rng")
+
+    def __init__(self, services, rng):
+        self._services = services
+        self._rng = rng
+
+    async def forward(self, context: Context) -> Answered | Failure | None:
+        """Relay the stream.
+
+        :returns: None if the response has been sent to its end, a whole response or a failure if
+            nothing has been sent, and a failure if the response broke off
+        """
+        return await _Relay(self._services, context, self._rng).run()
+
+
+class _Relay:
+    """The relay of one stream."""
+
+    __slots__ = ("_services", "_context", "_rng", "_last_id", "_avoid", "_runs", "_log")
+
+    def __init__(self, services, context: Context, rng):
+        self._services = services
+        self._context = context
+        self._rng = rng
+        given = context.info.last_event_id
+        self._last_id = int(given) if given.isdigit() else None
+        self._avoid: set[str] = set()
+        self._runs = 0
+        self._log = structlog.get_logger("stream")
+
+    async def run(self) -> Answered | Failure | None:
+        context = self._context
+        failure: Failure | None = None
+        for attempt in range(_ATTEMPTS):
+            choice = await self._admit(attempt)
+            if isinstance(choice, Failure):
+                return self._final(failure or choice)
+            if attempt and not self._services.budget.take(context.service.name):
+                return self._final(failure or BUDGET_SPENT.because("no repeat left", 1.0))
+            outcome = await self._attempt(choice)
+            if outcome is None or isinstance(outcome, Answered):
+                return outcome
+            self._log.info(
+                "attempt failed",
+                request=context.info.id.decode("latin-1"),
+                head=choice.members[0].server,
+                reason=outcome.reason,
+                last_id=self._last_id,
+            )
+            if isinstance(outcome, Broken):
+                self._runs += 1
+                failure = OUTCOME_UNKNOWN.because(outcome.reason)
+                if not context.route.resumable:
+                    break
+            elif failure is None:
+                failure = NO_CHAIN.because(outcome.reason, self._retry_after())
+            if trio.current_time() >= context.deadline - _ANSWER_MARGIN_S:
+                failure = DEADLINE_EXCEEDED.because("no time left")
+                break
+        return self._final(failure)
+
+    def _final(self, failure: Failure) -> Failure:
+        if self._context.exchange.started:
+            return STREAM_LOST.because(failure.reason)
+        if self._runs and failure.kind.status == 503:
+            # The request may have run, so it must not be told otherwise.
+            return OUTCOME_UNKNOWN.because(failure.reason)
+        return failure
+
+    def _tokens(self) -> int:
+        info = self._context.info
+        output = info.max_output_tokens or _USUAL_OUTPUT
+        if info.output_hint:
+            output = min(output, int(info.output_hint * _HINT_PART))
+        return info.prompt_tokens + output
+
+    async def _admit(self, attempt: int):
+        """Return a path with room, or a failure after a bounded wait."""
+        services, context = self._services, self._context
+        engine = context.service.engine
+        objective = context.route.objective_s
+        until = min(trio.current_time() + objective * _WAIT_PART, context.deadline)
+        while True:
+            choice = services.finder.find(
+                services.servers(context),
+                engine,
+                self._tokens(),
+                context.info.prompt_tokens,
+                self._avoid,
+            )
+            if choice is not None:
+                return choice
+            if self._avoid and attempt:
+                self._avoid.clear()
+                continue
+            now = trio.current_time()
+            if now >= until:
+                return QUEUE_FULL.because("no chain has room", self._retry_after())
+            with trio.move_on_at(min(until, now + 0.1)):
+                await services.freed.wait()
+
+    def _retry_after(self) -> float:
+        return self._rng.uniform(*_RETRY_AFTER_S)
+
+    async def _attempt(self, choice):
+        """Send to a chain; return None at the end, a whole response, ``NotRun`` or ``Broken``."""
+        services, context = self._services, self._context
+        tokens = self._tokens()
+        services.load.add(choice.members, tokens)
+        try:
+            with trio.move_on_at(context.deadline - _ANSWER_MARGIN_S):
+                return await self._exchange(choice)
+            return Broken("deadline")
+        finally:
+            services.load.remove(choice.members, tokens)
+            services.announce_room()
+
+    async def _exchange(self, choice):
+        services, context = self._services, self._context
+        entries = services.view.servers
+        hops = []
+        for member in choice.members:
+            entry = entries.get(member.server)
+            if entry is None:
+                return NotRun("a member is gone")
+            hops.append((entry.host, entry.port, member.first, member.end))
+        head = entries[choice.members[0].server]
+        context.servers.append("+".join(member.server for member in choice.members))
+        try:
+            connection = await services.pool.acquire(head.address)
+        except ServerError as error:
+            services.load.suspect(head.id, error.failure.reason)
+            return NotRun(error.failure.reason)
+        kept = False
+        try:
+            exchange = context.exchange
+            context.sends += 1
+            header = services.dialect.build_header(
+                exchange.raw_headers,
+                exchange.body,
+                context.deadline - trio.current_time(),
+                head.id,
+                context.organisation,
+                context.priority,
+                hops,
+                None if self._last_id is None else b"%d" % self._last_id,
+            )
+            await connection.send(exchange.method, exchange.target, header, exchange.body)
+            silence = _Silence(choice, self._services, context, head)
+            response = await silence.watch(connection.receive_head)
+            if isinstance(response, Broken):
+                self._blame(silence, choice)
+                return response
+            outcome = await self._read(response, connection, choice, silence)
+            kept = outcome is None or isinstance(outcome, (Answered, NotRun))
+            kept = kept and services.note_keep_alive(connection, response)
+            return outcome
+        except ServerError as error:
+            self._avoid.add(head.id)
+            return Broken(error.failure.reason)
+        finally:
+            if kept:
+                services.pool.release(connection)
+            else:
+                connection.close()
+
+    async def _read(self, response, connection, choice, silence):
+        dialect, context = self._services.dialect, self._context
+        headers = dict(response.headers)
+        if not dialect.echoes(headers, context.info.id):
+            return Broken("the response belongs to another request")
+        if dialect.is_not_run(response.status_code, headers):
+            await connection.receive_body(_BODY_BYTES)
+            self._blame_named(dialect.faulty_server(headers), choice)
+            return NotRun(f"server said {response.status_code}")
+        if response.status_code != 200 or not dialect.is_signed(headers):
+            body = await connection.receive_body(_BODY_BYTES)
+            if context.exchange.started or response.status_code in (200, 408, 421, 429, 503):
+                self._avoid.add(choice.members[0].server)
+                return Broken(f"server said {response.status_code}")
+            header = dialect.filter_response(response.headers.raw_items())
+            return Answered(response.status_code, header, body)
+        return await self._relay_events(response, connection, choice, silence)
+
+    async def _relay_events(self, response, connection, choice, silence):
+        context = self._context
+        splitter = EventSplitter()
+        while True:
+            data = await silence.watch(connection.receive_data)
+            if isinstance(data, Broken):
+                self._blame(silence, choice)
+                return data
+            if data is None:
+                break
+            events = self._new_events(splitter.feed(data))
+            if isinstance(events, Broken):
+                self._avoid.add(choice.members[0].server)
+                return events
+            if events:
+                await self._pass_on(response, b"".join(events))
+                silence.reading = False
+        if splitter.incomplete or not context.exchange.started:
+            return Broken("the stream ended within an event")
+        await context.exchange.end()
+        return None
+
+    def _new_events(self, events):
+        """Return the events that the caller hasn't got; ``Broken`` if one is missing."""
+        fresh = []
+        for event in events:
+            number = read_event_id(event)
+            if number is None:
+                return Broken("an event has no id")
+            if self._last_id is not None:
+                if number <= self._last_id:
+                    continue
+                if number != self._last_id + 1:
+                    return Broken(f"event {number} follows {self._last_id}")
+            self._last_id = number
+            fresh.append(event)
+        return fresh
+
+    async def _pass_on(self, response, data: bytes) -> None:
+        exchange = self._context.exchange
+        if exchange.started:
+            await exchange.send(data)
+        else:
+            header = self._services.dialect.filter_response(response.headers.raw_items())
+            await exchange.start(response.status_code, header, data)
+
+    def _blame(self, silence, choice) -> None:
+        """Avoid the member at fault, or else the whole path for this request."""
+        if silence.culprit is None:
+            self._avoid.update(member.server for member in choice.members)
+        else:
+            self._blame_named(silence.culprit, choice)
+
+    def _blame_named(self, address: str | None, choice) -> None:
+        if address is None:
+            # Rejected by the head itself, as it is full or draining.
+            self._avoid.add(choice.members[0].server)
+            return
+        entries = self._services.view.servers
+        for member in choice.members:
+            entry = entries.get(member.server)
+            if entry is not None and f"{entry.host}:{entry.port}" == address:
+                self._services.load.suspect(entry.id, "named as faulty")
+                self._avoid.add(entry.id)
+
+
+class _Silence:
+    """Waits for the next bytes of a chain, and finds out whether it stalls."""
+
+    __slots__ = ("_choice", "_services", "_context", "_head", "reading", "culprit")
+
+    def __init__(self, choice, services, context, head):
+        self._choice = choice
+        self._services = services
+        self._context = context
+        self._head = head
+        self.reading = True
+        self.culprit: str | None = None
+
+    async def watch(self, receive):
+        """Return what ``receive`` returns, or ``Broken`` if the chain stalls."""
+        start = trio.current_time()
+        pass_s = self._choice.pass_ms / 1000
+        wait_s = max(_LEAST_SILENCE_S, _SILENCE_PASSES * pass_s)
+        if self.reading:
+            wait_s += _READ_PASSES * self._choice.read_ms / 1000
+        while True:
+            with trio.move_on_after(wait_s):
+                return await receive()
+            if await self._stalls():
+                return Broken(f"chain stalls at {self.culprit}")
+            if trio.current_time() - start > _GIVE_UP_PART * _CALLER_PATIENCE_S:
+                return Broken("chain silent")
+            wait_s = _LEAST_SILENCE_S
+
+    async def _stalls(self) -> bool:
+        """Ask the head which member its request waits for."""
+        services = self._services
+        address = f"{self._head.host}:{self._head.port}"
+        try:
+            with trio.fail_after(_REPORT_S):
+                connection = await services.pool.acquire(self._head.address)
+                try:
+                    await connection.send(*services.dialect.report_query())
+                    await connection.receive_head()
+                    report = json.loads(await connection.receive_body(_BODY_BYTES))
+                finally:
+                    connection.close()
+        except (ServerError, trio.TooSlowError):
+            self.culprit = address
+            return True
+        self.culprit = services.dialect.stalled_at(report, self._context.info.id)
+        return self.culprit is not None
--- a/basilwinch/lease/holder.py
+++ b/basilwinch/lease/holder.py
@@ -11,7 +11,7 @@
     Failure,
     PlatformError,
 )
-from basilwinch.platform import Compare, KeyValue, KeyValueStore
+from basilwinch.store import Compare, KeyValue, KeyValueStore
 from basilwinch.record import Record
 
 __all__ = ["HeldLease", "LeaseConfig", "LeaseHolder"]
--- a/basilwinch/membership/membership.py
+++ b/basilwinch/membership/membership.py
@@ -28,7 +28,7 @@
     reading_delay,
 )
 from basilwinch.observability import DecisionLog
-from basilwinch.platform import VmList
+from basilwinch.store import VmList
 
 __all__ = ["Membership"]
 
--- a/basilwinch/membership/meter.py
+++ b/basilwinch/membership/meter.py
@@ -1,6 +1,6 @@
 """Bytes of a node's platform traffic."""
 
-from basilwinch.platform import KeyValueStore
+from basilwinch.store import KeyValueStore
 
 __all__ = ["MeteredStore"]
 
--- a/basilwinch/membership/seeds.py
+++ b/basilwinch/membership/seeds.py
@@ -6,7 +6,7 @@
 
 from basilwinch.exception import PlatformError
 from basilwinch.membership.config import MembershipConfig
-from basilwinch.platform import VmList, VmState
+from basilwinch.store import VmList, VmState
 
 __all__ = ["Seeds"]
 
@@ -16,7 +16,7 @@
     earns a ping; the answer decides.
 
     :param config: :class:`MembershipConfig`
-    :param vm_list: :class:`~basilwinch.platform.VmList` or None
+    :param vm_list: :class:`~basilwinch.store.VmList` or None
     :param rng: source of randomness
     """
 
--- a/basilwinch/membership/simulation.py
+++ b/basilwinch/membership/simulation.py
@@ -11,7 +11,7 @@
 from basilwinch.membership.memory import MemoryNetwork
 from basilwinch.membership.packet import Keyring
 from basilwinch.observability import DecisionLog
-from basilwinch.platform import Compare, KeyValue
+from basilwinch.store import Compare, KeyValue
 
 __all__ = ["Cluster", "HeadSource", "LoggedReplica", "Node", "locate", "publish"]
 
--- a/basilwinch/membership/source.py
+++ b/basilwinch/membership/source.py
@@ -1,6 +1,6 @@
 """The platform's head as the source of revisions."""
 
-from basilwinch.platform import KeyValue, KeyValueStore, WatchEvent
+from basilwinch.store import KeyValue, KeyValueStore, WatchEvent
 from basilwinch.release import Follower, Replica
 from basilwinch.release.layout import HEAD, Head
 
--- a/basilwinch/membership/tests/test_failure.py
+++ b/basilwinch/membership/tests/test_failure.py
@@ -7,7 +7,7 @@
 from basilwinch.membership import Keyring, MemberState
 from basilwinch.membership.packet import Sealer
 from basilwinch.membership.simulation import Cluster, publish
-from basilwinch.platform import VmEntry, VmState
+from basilwinch.store import VmEntry, VmState
 from basilwinch.standin import LaggingVmList, MemoryKeyValueStore
 
 SPREAD_S = 3.0
--- a/basilwinch/order/runner.py
+++ b/basilwinch/order/runner.py
@@ -27,7 +27,7 @@
 from basilwinch.order.outcome import OrderConfig, OrderDone, OrderNotRun, OrderRequest, OrderUnknown
 from basilwinch.order.settlement import Settlement
 from basilwinch.order.writer import ClaimWriter, Entry
-from basilwinch.platform import KeyValue, KeyValueStore
+from basilwinch.store import KeyValue, KeyValueStore
 from basilwinch.server import ServiceClient, ServiceReply
 
 __all__ = ["OrderRunner"]
--- a/basilwinch/order/settlement.py
+++ b/basilwinch/order/settlement.py
@@ -9,7 +9,7 @@
 from basilwinch.order.claim import Claim, ClaimState
 from basilwinch.order.outcome import OrderConfig, make_query
 from basilwinch.order.writer import ClaimWriter
-from basilwinch.platform import KeyValue
+from basilwinch.store import KeyValue
 from basilwinch.server import ServiceCall, ServiceClient, ServiceReply
 
 __all__ = ["Settlement"]
--- a/basilwinch/order/writer.py
+++ b/basilwinch/order/writer.py
@@ -16,7 +16,7 @@
 from basilwinch.order.claim import Claim
 from basilwinch.order.contact import PlatformContact
 from basilwinch.order.outcome import OrderConfig
-from basilwinch.platform import Compare, KeyValue, KeyValueStore
+from basilwinch.store import Compare, KeyValue, KeyValueStore
 
 __all__ = ["ClaimWriter", "Entry"]
 
@@ -44,7 +44,7 @@
         self.timed = timed
         #: Whether this record is durable.
         self.written = False
-        #: The record that was there before, a :class:`~basilwinch.platform.KeyValue`.
+        #: The record that was there before, a :class:`~basilwinch.store.KeyValue`.
         self.found: KeyValue | None = None
         self.failure: Failure | None = None
         #: Whether some write of it may still have taken effect.
--- /dev/null
+++ b/basilwinch/peers/exchange.py
@@ -0,0 +1,119 @@
+"""Exchange of load reports over UDP among the nodes that the store lists."""
+
+import json
+
+import structlog
+import trio
+
+from basilwinch.exception import LEASE_LOST, PlatformError
+from basilwinch.peers.codec import decode_report, encode_report
+from basilwinch.store import KeyValue
+
+__all__ = ["NODES_PREFIX", "PeerExchange"]
+
+NODES_PREFIX = "basilwinch/nodes/"
+_INTERVAL_S = 0.25  # between reports to a peer in a small fleet
+_DATAGRAMS_PER_S = 60  # sent by a node at most; a larger fleet gets reports less often
+_LEASE_S = 12.0  # a node that is gone gets reports for so long
+_RENEW_S = 4.0
+_DATAGRAM_BYTES = 65535
+
+
+class PeerExchange:
+    """Registers this node, sends its load to the others and takes theirs.
+
+    :param name: name of this node
+    :param ip: IP address of this node
+    :param port: UDP port, the same on all nodes
+    :param store: key-value service
+    :param load: :class:`~basilwinch.chains.load.FleetLoad`
+    """
+
+    __slots__ = ("_name", "_ip", "_port", "_store", "_load", "_peers", "_log", "_rng")
+
+    def __init__(self, name, ip, port, store, load, rng):
+        self._name = name
+        self._ip = ip
+        self._port = port
+        self._store = store
+        self._load = load
+        self._rng = rng
+        self._peers: dict[str, str] = {}
+        self._log = structlog.get_logger("peers")
+
+    @property
+    def nodes(self) -> int:
+        """Number of registered nodes, this one included."""
+        return max(1, len(self._peers) + 1)
+
+    def apply(self, key: str, value: bytes | None) -> None:
+        """Take over a node's registration."""
+        name = key.removeprefix(NODES_PREFIX)
+        if name == self._name:
+            return
+        if value is None:
+            self._peers.pop(name, None)
+            return
+        try:
+            self._peers[name] = json.loads(value)["ip"]
+        except (ValueError, KeyError, TypeError) as error:
+            self._log.warning("node entry unreadable", node=name, error=repr(error))
+
+    async def run(self) -> None:
+        """Register, send and receive forever."""
+        sock = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM)
+        await sock.bind((self._ip, self._port))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._register)
+            nursery.start_soon(self._receive, sock)
+            nursery.start_soon(self._send, sock)
+
+    async def _register(self) -> None:
+        lease = None
+        while True:
+            try:
+                if lease is None:
+                    grant = await self._store.grant(_LEASE_S)
+                    value = json.dumps({"ip": self._ip}).encode()
+                    put = KeyValue(NODES_PREFIX + self._name, value, 0, grant.lease)
+                    await self._store.transact([], [put])
+                    lease = grant.lease
+                else:
+                    await self._store.keep_alive(lease)
+            except PlatformError as error:
+                if error.failure.kind is LEASE_LOST:
+                    lease = None
+                self._log.info("registration not renewed", reason=error.failure.reason)
+            await trio.sleep(_RENEW_S * self._rng.uniform(0.8, 1.0))
+
+    async def _send(self, sock) -> None:
+        sequence = 0
+        idle = False
+        while True:
+            peers = list(self._peers.items())
+            await trio.sleep(max(_INTERVAL_S, len(peers) / _DATAGRAMS_PER_S))
+            shares = {s: share for s, share in self._load.own.items() if share.requests}
+            if not shares and idle:
+                continue
+            idle = not shares
+            sequence += 1
+            data = encode_report(self._name, sequence, shares)
+            for name, ip in peers:
+                try:
+                    await sock.sendto(data, (ip, self._port))
+                except OSError as error:
+                    self._log.info("report not sent", node=name, error=repr(error))
+
+    async def _receive(self, sock) -> None:
+        while True:
+            try:
+                data, _ = await sock.recvfrom(_DATAGRAM_BYTES)
+            except OSError as error:
+                self._log.info("receive failed", error=repr(error))
+                continue
+            report = decode_report(data)
+            if not report:
+                self._log.warning("report unreadable", reason=report.reason)
+                continue
+            node, _, shares = report
+            self._load.take_report(node, shares)
--- a/basilwinch/placement/targets.py
+++ b/basilwinch/placement/targets.py
@@ -7,7 +7,7 @@
 from basilwinch.pipeline import Placement
 from basilwinch.placement.group import Group
 from basilwinch.placement.planner import Plan
-from basilwinch.platform import Compare, KeyValue, KeyValueStore
+from basilwinch.store import Compare, KeyValue, KeyValueStore
 
 __all__ = ["TargetStore", "decode_plan", "encode_plan"]
 
--- a/basilwinch/platform/__init__.py
+++ b/basilwinch/platform/__init__.py
@@ -1,32 +1,14 @@
-"""Interfaces of the platform: key-value service, list of VMs, weight store."""
+"""Adapter to the platform of the users: names, formats and calls; decides nothing."""
 
-from basilwinch.platform.etcd import EtcdConfig, EtcdStore
-from basilwinch.platform.interface import (
-    Compare,
-    KeyValue,
-    KeyValueStore,
-    LeaseGrant,
-    Page,
-    Transaction,
-    VmEntry,
-    VmList,
-    VmState,
-    WatchEvent,
-    WeightStore,
-)
+from basilwinch.platform.dialect import Dialect
+from basilwinch.platform.documents import decode_configuration, decode_server
+from basilwinch.platform.settings import read_settings
+from basilwinch.platform.store import MetadataStore
 
 __all__ = [
-    "Compare",
-    "EtcdConfig",
-    "EtcdStore",
-    "KeyValue",
-    "KeyValueStore",
-    "LeaseGrant",
-    "Page",
-    "Transaction",
-    "VmEntry",
-    "VmList",
-    "VmState",
-    "WatchEvent",
-    "WeightStore",
+    "Dialect",
+    "MetadataStore",
+    "decode_configuration",
+    "decode_server",
+    "read_settings",
 ]
--- /dev/null
+++ b/basilwinch/platform/documents.py
@@ -0,0 +1,165 @@
+"""Documents that the operator and the servers write to the store, decoded."""
+
+import json
+
+import structlog
+
+from basilwinch.view import (
+    CallerLimits,
+    CardKind,
+    Configuration,
+    Engine,
+    Organisation,
+    Route,
+    RouteKind,
+    ServerEntry,
+    Service,
+)
+
+__all__ = ["CONFIGURATION_KEY", "SERVERS_PREFIX", "decode_configuration", "decode_server"]
+
+CONFIGURATION_KEY = "op/config"
+SERVERS_PREFIX = "servers/"
+
+_KINDS = {
+    "idempotent": RouteKind.IDEMPOTENT,
+    "non_idempotent": RouteKind.NON_IDEMPOTENT,
+    "streaming": RouteKind.STREAMING,
+}
+_STATES = {"ready": False, "draining": True}
+_log = structlog.get_logger("documents")
+
+
+def decode_configuration(value: bytes) -> Configuration | None:
+    """Return the configuration of an item, or None with a log line if it can't be read."""
+    try:
+        fields = json.loads(value)
+        return Configuration(
+            fields["version"],
+            [_decode_route(route) for route in fields.get("routes", ())],
+            {service["name"]: _decode_service(service) for service in fields.get("services", ())},
+            _decode_organisations(fields.get("tenants")),
+            _decode_limits(fields.get("limits") or {}),
+        )
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        _log.error("configuration unreadable", error=repr(error))
+        return None
+
+
+def _decode_route(route: dict) -> Route:
+    split = route.get("traffic-split")
+    if split:
+        targets = tuple((part["service"], part["weight"]) for part in split)
+    else:
+        targets = ((route["service"], 1),)
+    return Route(
+        name=route["name"],
+        host=route["host"],
+        prefix=route["prefix"],
+        kind=_KINDS[route["kind"]],
+        targets=targets,
+        timeout_s=route["timeout-ms"] / 1000,
+        objective_s=route.get("slo-ms", route["timeout-ms"]) / 1000,
+        gap_s=route.get("gap-target-ms", 0) / 1000,
+        max_attempts=route.get("max-attempts", 1),
+        priority=route.get("priority", 0),
+        open=bool(route.get("no-auth")),
+        resumable=bool(route.get("can-resume")),
+    )
+
+
+def _decode_service(service: dict) -> Service:
+    engine = service.get("engine")
+    layered = isinstance(engine, dict) and "layers" in engine
+    return Service(service["name"], service.get("max-conns", 64), _decode(engine, layered))
+
+
+def _decode(engine: dict | None, layered: bool) -> Engine | None:
+    if not layered:
+        return None
+    # "mb" is the memory of a whole card; "pace" multiplies steps, "read-x" everything else.
+    kinds = {
+        kind["name"]: CardKind(kind["name"], kind["mb"], kind["pace"], kind["read-x"])
+        for kind in engine["kinds"]
+    }
+    usual = engine.get("usual") or {}
+    return Engine(
+        layers=engine["layers"],
+        layer_mb=engine["layer-mb"],
+        # "kv-token-bytes" counts a token in all layers.
+        token_layer_bytes=engine["kv-token-bytes"] / engine["layers"],
+        kinds=kinds,
+        step_ms=engine["step_ms"],
+        sequence_ms=engine["per_seq_ms"],
+        context_ms=engine["context_per_k"],
+        read_per_ms=engine["read_per_s"] / 1000,
+        stride=engine.get("stride", 1),
+        usual_tokens=usual.get("prompt", 500) + usual.get("answer", 200),
+        load_s=max(model.get("load-s", 0) for model in engine["models"]),
+        slots=engine.get("slots", 64),
+    )
+
+
+def _decode_organisations(tenants) -> dict[str, Organisation] | None:
+    if tenants is None:
+        return None
+    return {
+        key: Organisation(tenant["name"], tenant.get("priority"))
+        for tenant in tenants
+        for key in tenant.get("api-keys", ())
+    }
+
+
+def _decode_limits(limits: dict) -> CallerLimits:
+    default = CallerLimits()
+    return CallerLimits(
+        limits.get("max-header-bytes", default.header_bytes),
+        limits.get("max-body-bytes", default.body_bytes),
+        limits.get("header-timeout-ms", default.header_s * 1000) / 1000,
+        limits.get("idle-timeout-ms", default.idle_s * 1000) / 1000,
+    )
+
+
+def decode_server(key: str, value: bytes) -> ServerEntry | None:
+    """Return the server of an item, or None with a log line if it names none to use."""
+    server_id = key.removeprefix(SERVERS_PREFIX)
+    try:
+        fields = json.loads(value)
+        host, _, port = fields["address"].rpartition(":")
+        entry = ServerEntry(
+            id=server_id,
+            service=fields["service"],
+            host=host,
+            port=int(port),
+            zone=fields["zone"],
+            slots=fields["slots"],
+            leaving=_STATES[fields["state"]],
+            kind=fields.get("kind", ""),
+            layers=_decode_layers(fields.get("layers")),
+            born_ms=fields.get("born", 0),
+            orders=fields.get("sequence", 0),
+        )
+        _check(entry)
+        return entry
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        _log.warning("server entry unreadable", server=server_id, error=repr(error))
+        return None
+
+
+def _decode_layers(layers) -> tuple[int, int] | None:
+    """Return first and end; servers report a table, or a list of tables while layers change."""
+    if isinstance(layers, list):
+        layers = layers[0] if len(layers) == 1 else None
+    if not layers or layers["to"] <= layers["from"]:
+        return None
+    return (int(layers["from"]), int(layers["to"]))
+
+
+def _check(entry: ServerEntry) -> None:
+    """Raise TypeError for a field of the wrong type."""
+    texts = (entry.service, entry.zone, entry.kind, entry.host)
+    numbers = (entry.slots, entry.born_ms, entry.orders)
+    if not all(isinstance(text, str) for text in texts) or not entry.host:
+        raise TypeError("a text field has another type")
+    if not all(isinstance(n, int) and not isinstance(n, bool) for n in numbers):
+        raise TypeError("a number field has another type")
--- /dev/null
+++ b/basilwinch/platform/store.py
@@ -0,0 +1,170 @@
+"""Client of the platform's metadata store."""
+
+import base64
+import json
+import urllib.parse
+
+import trio
+
+from basilwinch.exception import (
+    HISTORY_COMPACTED,
+    LEASE_LOST,
+    OUTCOME_UNKNOWN,
+    PLATFORM_AMBIGUOUS,
+    PLATFORM_REFUSED,
+    PLATFORM_UNAVAILABLE,
+    PlatformError,
+    ServerError,
+)
+from basilwinch.record import Record
+from basilwinch.store import KeyValue, LeaseGrant, Page, Transaction, WatchEvent
+from basilwinch.wire import ConnectionPool
+
+__all__ = ["Changes", "MetadataStore"]
+
+_CALL_TIMEOUT_S = 1.5  # the store answers in 4 ms; slow days take up to 100 times as long
+_WATCH_SLACK_S = 1.0  # beyond the time that a watch asked for
+_CONNECT_TIMEOUT_S = 0.5
+_KEEP_S = 30.0
+_MOST_IDLE = 4
+_BODY_BYTES = 16 << 20
+_LONGEST_WATCH_S = 30.0
+
+
+class Changes(Record):
+    """Changes of keys, and the revision up to which they are complete."""
+
+    __slots__ = ("events", "revision")
+
+
+class MetadataStore:
+    """The store over HTTP/1.1; implements :class:`~basilwinch.store.KeyValueStore`.
+
+    :param host: IP address
+    :param port: port
+    :param clock: function that returns the time in seconds
+    """
+
+    __slots__ = ("_address", "_pool")
+
+    def __init__(self, host: str, port: int, clock=trio.current_time):
+        self._address = (host, port)
+        self._pool = ConnectionPool(clock, _CONNECT_TIMEOUT_S, _KEEP_S, _MOST_IDLE)
+
+    async def get(self, key: str) -> KeyValue | None:
+        """Return a key, or None."""
+        status, fields = await self._call("GET", "/-/kv-key", {"key": key})
+        return None if status == 404 else _decode_item(fields)
+
+    async def scan(self, prefix: str, limit: int = 1000, after: str = "") -> Page:
+        """Return keys with a prefix, in order, after a key; the store sets the page's size."""
+        page, _ = await self.scan_at(prefix, after)
+        return page
+
+    async def scan_at(self, prefix: str, after: str = "") -> tuple[Page, int]:
+        """Return a page, and the store's revision when it was read."""
+        query = {"prefix": prefix, "after": after} if after else {"prefix": prefix}
+        _, fields = await self._call("GET", "/-/kv-range", query)
+        items = [_decode_item(item) for item in fields["items"]]
+        # "as-of" is the revision of the whole store, not of an item.
+        return Page(items, bool(fields["more-pages"])), fields["as-of"]
+
+    async def transact(self, compares, puts, deletes=()) -> Transaction:
+        """Apply all changes if all conditions hold, else none."""
+        body = {
+            "expected": [{"key": c.key, "revision": c.mod_revision} for c in compares],
+            "writes": [_encode_put(put) for put in puts],
+            "remove": list(deletes),
+        }
+        status, fields = await self._call("POST", "/-/kv-txn", body=body, changes=True)
+        if status == 404:
+            raise PlatformError(LEASE_LOST.because("the lease of a write has ended"))
+        return Transaction(status == 200, fields.get("revision", 0))
+
+    async def grant(self, ttl_s: float) -> LeaseGrant:
+        """Grant a lease."""
+        body = {"ttl-ms": int(ttl_s * 1000)}
+        _, fields = await self._call("POST", "/-/kv-lease", body=body, changes=True)
+        return LeaseGrant(fields["lease"], fields["ttl-ms"] / 1000)
+
+    async def keep_alive(self, lease: int) -> LeaseGrant:
+        """Renew a lease; raises ``PlatformError`` with ``LEASE_LOST`` if it has ended."""
+        status, fields = await self._call("POST", f"/-/kv-keep/{lease}", changes=True)
+        if status == 404:
+            raise PlatformError(LEASE_LOST.because("the lease has ended"))
+        return LeaseGrant(lease, fields["ttl-ms"] / 1000)
+
+    async def revoke(self, lease: int) -> None:
+        """End a lease and delete its keys."""
+        await self._call("DELETE", f"/-/kv-lease-end/{lease}", changes=True)
+
+    async def poll(self, prefix: str, after: int, wait_s: float) -> Changes:
+        """Return the changes after a revision, as soon as there are any.
+
+        :param wait_s: longest time to wait, in seconds
+        :raises PlatformError: with ``HISTORY_COMPACTED`` if the store no longer has them
+        """
+        wait_s = min(wait_s, _LONGEST_WATCH_S)
+        query = {"prefix": prefix, "after": after, "wait-ms": int(wait_s * 1000)}
+        timeout_s = wait_s + _WATCH_SLACK_S
+        status, fields = await self._call("GET", "/-/kv-watch", query, timeout_s=timeout_s)
+        if status == 410:
+            raise PlatformError(HISTORY_COMPACTED.because(f"events after {after} are gone"))
+        return Changes([_decode_event(event) for event in fields["events"]], fields["as-of"])
+
+    async def _call(
+        self, method, path, query=None, body=None, timeout_s=_CALL_TIMEOUT_S, changes=False
+    ) -> tuple[int, dict]:
+        """Make a call; ``changes`` tells whether it may have had an effect if it gets no answer."""
+        target = f"{path}?{urllib.parse.urlencode(query)}" if query else path
+        data = b"" if body is None else json.dumps(body).encode()
+        header = [(b"Content-Type", b"application/json")] if data else []
+        if method != "GET":
+            header.append((b"Content-Length", b"%d" % len(data)))
+        kind = PLATFORM_AMBIGUOUS if changes else PLATFORM_UNAVAILABLE
+        try:
+            with trio.fail_after(timeout_s):
+                status, answer = await self._exchange(method.encode(), target, header, data)
+        except trio.TooSlowError:
+            raise PlatformError(kind.because(f"{method} {path}: no answer in time")) from None
+        except ServerError as error:
+            if error.failure.kind is not OUTCOME_UNKNOWN:
+                kind = PLATFORM_UNAVAILABLE
+            raise PlatformError(kind.because(error.failure.reason)) from None
+        if status in (429, 503):
+            raise PlatformError(PLATFORM_UNAVAILABLE.because(f"{method} {path}: {status}"))
+        if status not in (200, 404, 410, 412):
+            raise PlatformError(PLATFORM_REFUSED.because(f"{method} {path}: {status}"))
+        try:
+            return status, json.loads(answer) if answer else {}
+        except ValueError:
+            raise PlatformError(kind.because(f"{method} {path}: unreadable answer")) from None
+
+    async def _exchange(self, method, target, header, data) -> tuple[int, bytes]:
+        connection = await self._pool.acquire(self._address)
+        kept = False
+        try:
+            await connection.send(method, target.encode(), header, data)
+            response = await connection.receive_head()
+            answer = await connection.receive_body(_BODY_BYTES)
+            kept = True
+            return response.status_code, answer
+        finally:
+            if kept:
+                self._pool.release(connection)
+            else:
+                connection.close()
+
+
+def _decode_item(item: dict) -> KeyValue:
+    value = base64.b64decode(item["value"])
+    return KeyValue(item["key"], value, item["revision"], item.get("lease", 0))
+
+
+def _decode_event(event: dict) -> WatchEvent:
+    value = None if event.get("deleted") else base64.b64decode(event["value"])
+    return WatchEvent(event["key"], value, event["revision"])
+
+
+def _encode_put(put: KeyValue) -> dict:
+    return {"key": put.key, "value": base64.b64encode(put.value).decode(), "lease": put.lease}
--- a/basilwinch/release/follower.py
+++ b/basilwinch/release/follower.py
@@ -6,7 +6,7 @@
 import trio
 
 from basilwinch.exception import RELEASE_FORKED, RELEASE_GAP, Failure, PlatformError
-from basilwinch.platform import KeyValueStore
+from basilwinch.store import KeyValueStore
 from basilwinch.record import Record
 from basilwinch.release.layout import HEAD
 from basilwinch.release.loader import load_state, read_head, read_history
--- a/basilwinch/release/layout.py
+++ b/basilwinch/release/layout.py
@@ -13,7 +13,7 @@
 import json
 
 from basilwinch.exception import RELEASE_MALFORMED, PlatformError
-from basilwinch.platform import KeyValue
+from basilwinch.store import KeyValue
 from basilwinch.record import Record
 from basilwinch.release.change import Change
 from basilwinch.release.state import Revision
--- a/basilwinch/release/loader.py
+++ b/basilwinch/release/loader.py
@@ -3,7 +3,7 @@
 import trio
 
 from basilwinch.exception import RELEASE_GAP, RELEASE_MALFORMED, PlatformError
-from basilwinch.platform import KeyValueStore
+from basilwinch.store import KeyValueStore
 from basilwinch.release.layout import HEAD, NOTES, PAGES, Body, Head, Table, note_key
 from basilwinch.release.state import Revision, State
 from basilwinch.release.steps import finish_in_turns
--- a/basilwinch/release/publisher.py
+++ b/basilwinch/release/publisher.py
@@ -14,7 +14,7 @@
     Failure,
     PlatformError,
 )
-from basilwinch.platform import KeyValueStore
+from basilwinch.store import KeyValueStore
 from basilwinch.record import Record
 from basilwinch.release.change import touched
 from basilwinch.release.layout import Body, Head, Table
--- a/basilwinch/release/reinstate.py
+++ b/basilwinch/release/reinstate.py
@@ -1,6 +1,6 @@
 """Return of accepted notes to a platform that was restored from an older state."""
 
-from basilwinch.platform import KeyValueStore
+from basilwinch.store import KeyValueStore
 from basilwinch.release.change import Change, combine
 from basilwinch.release.layout import Body, Head, Table
 from basilwinch.release.loader import load_head, read_recent
--- a/basilwinch/release/writer.py
+++ b/basilwinch/release/writer.py
@@ -9,7 +9,7 @@
     RELEASE_GAP,
     PlatformError,
 )
-from basilwinch.platform import Compare, KeyValue, KeyValueStore
+from basilwinch.store import Compare, KeyValue, KeyValueStore
 from basilwinch.release.layout import HEAD, Body, Head, Table, page_key
 from basilwinch.release.loader import read_head, read_history, read_table
 from basilwinch.release.mapping import bucket_of
--- a/basilwinch/standin/etcd.py
+++ b/basilwinch/standin/etcd.py
@@ -12,8 +12,8 @@
     Failure,
     PlatformError,
 )
-from basilwinch.platform.interface import Compare, KeyValue
-from basilwinch.platform.message import decode, encode, prefix_end
+from basilwinch.store.interface import Compare, KeyValue
+from basilwinch.store.message import decode, encode, prefix_end
 from basilwinch.standin.keyvalue import MemoryKeyValueStore
 
 __all__ = ["EtcdGateway"]
--- a/basilwinch/standin/keyvalue.py
+++ b/basilwinch/standin/keyvalue.py
@@ -14,7 +14,7 @@
     PLATFORM_UNAVAILABLE,
     PlatformError,
 )
-from basilwinch.platform.interface import (
+from basilwinch.store.interface import (
     Compare,
     KeyValue,
     LeaseGrant,
@@ -40,7 +40,7 @@
 
 
 class MemoryKeyValueStore:
-    """A :class:`~basilwinch.platform.KeyValueStore` in memory, on trio's clock.
+    """A :class:`~basilwinch.store.KeyValueStore` in memory, on trio's clock.
 
     Each call waits ``latency_s`` (half before its effect, half after it). ``calls`` counts the
     calls by kind; an open watch counts as one call, ``open_watches`` tells how many are open.
--- a/basilwinch/standin/tests/test_keyvalue.py
+++ b/basilwinch/standin/tests/test_keyvalue.py
@@ -5,7 +5,7 @@
 import trio.testing
 
 from basilwinch.exception import BasilwinchError
-from basilwinch.platform import Compare, KeyValue
+from basilwinch.store import Compare, KeyValue
 from basilwinch.standin import LaggingVmList, MemoryKeyValueStore
 
 
--- a/basilwinch/standin/vmlist.py
+++ b/basilwinch/standin/vmlist.py
@@ -3,13 +3,13 @@
 import trio
 
 from basilwinch.exception import PLATFORM_UNAVAILABLE, PlatformError
-from basilwinch.platform.interface import VmEntry, VmState
+from basilwinch.store.interface import VmEntry, VmState
 
 __all__ = ["LaggingVmList"]
 
 
 class LaggingVmList:
-    """A :class:`~basilwinch.platform.VmList` whose changes show after ``lag_s`` seconds.
+    """A :class:`~basilwinch.store.VmList` whose changes show after ``lag_s`` seconds.
 
     :param entries: entries that show at once
     :param lag_s: seconds until a change shows
--- a/basilwinch/standin/weightstore.py
+++ b/basilwinch/standin/weightstore.py
@@ -6,7 +6,7 @@
 
 
 class RateLimitedWeightStore:
-    """A :class:`~basilwinch.platform.WeightStore` that serves one fetch after another.
+    """A :class:`~basilwinch.store.WeightStore` that serves one fetch after another.
 
     :param bytes_per_s: rate of the store, shared by all fetches
 
--- a/basilwinch/platform/etcd.py
+++ b/basilwinch/store/etcd.py
@@ -20,14 +20,14 @@
     Failure,
     PlatformError,
 )
-from basilwinch.platform.interface import (
+from basilwinch.store.interface import (
     Compare,
     KeyValue,
     LeaseGrant,
     Page,
     Transaction,
 )
-from basilwinch.platform.message import decode_events, decode_pair, encode, prefix_end
+from basilwinch.store.message import decode_events, decode_pair, encode, prefix_end
 from basilwinch.record import Record
 
 __all__ = ["EtcdConfig", "EtcdStore"]
@@ -63,7 +63,7 @@
 
 
 class EtcdStore:
-    """A :class:`~basilwinch.platform.KeyValueStore` on the etcd v3 JSON gateway.
+    """A :class:`~basilwinch.store.KeyValueStore` on the etcd v3 JSON gateway.
 
     A call moves on to the next endpoint only while its request was certainly not sent. Use it as
     an async context manager, so that its connections are closed.
--- a/basilwinch/platform/message.py
+++ b/basilwinch/store/message.py
@@ -2,7 +2,7 @@
 
 import base64
 
-from basilwinch.platform.interface import KeyValue, WatchEvent
+from basilwinch.store.interface import KeyValue, WatchEvent
 
 __all__ = ["decode", "decode_events", "decode_pair", "encode", "prefix_end"]
 
--- a/basilwinch/platform/tests/test_etcd.py
+++ b/basilwinch/store/tests/test_etcd.py
@@ -8,8 +8,8 @@
 import trio
 
 from basilwinch.exception import BasilwinchError
-from basilwinch.platform import Compare, KeyValue
-from basilwinch.platform.etcd import EtcdConfig, EtcdStore
+from basilwinch.store import Compare, KeyValue
+from basilwinch.store.etcd import EtcdConfig, EtcdStore
 from basilwinch.standin import MemoryKeyValueStore
 from basilwinch.standin.etcd import EtcdGateway
 
--- /dev/null
+++ b/basilwinch/view/state.py
@@ -0,0 +1,88 @@
+"""State of the view, free of I/O."""
+
+import structlog
+
+from basilwinch.view.configuration import Configuration
+from basilwinch.view.server import ServerEntry
+
+__all__ = ["View"]
+
+
+class View:
+    """The newest configuration and the registered servers.
+
+    The version of the configuration never goes back within one process.
+
+    """
+
+    __slots__ = (
+        "configuration",
+        "servers",
+        "by_service",
+        "confirmed_at",
+        "changes",
+        "_log",
+    )
+
+    def __init__(self):
+        self.configuration: Configuration | None = None
+        self.servers: dict[str, ServerEntry] = {}
+        self.by_service: dict[str, list[ServerEntry]] = {}
+        self.confirmed_at = float("-inf")
+        self.changes = 0
+        self._log = structlog.get_logger("view")
+
+    def set_configuration(self, configuration: Configuration, revision: int) -> None:
+        """Put a configuration in force unless a newer one is."""
+        held = self.configuration
+        if held is not None and configuration.version <= held.version:
+            return
+        self.configuration = configuration
+        self.changes += 1
+        self._log.info(
+            "configuration in force",
+            version=configuration.version,
+            revision=revision,
+            routes=len(configuration.routes),
+        )
+
+    def set_server(self, entry: ServerEntry, revision: int) -> None:
+        """Take over a server's entry."""
+        held = self.servers.get(entry.id)
+        if held == entry:
+            return
+        self.servers[entry.id] = entry
+        self._index()
+        self._log.info(
+            "server changed" if held else "server registered",
+            server=entry.id,
+            leaving=entry.leaving,
+            layers=entry.layers,
+            revision=revision,
+        )
+
+    def remove_server(self, server_id: str, revision: int, reason: str) -> None:
+        """Forget a server."""
+        if self.servers.pop(server_id, None) is None:
+            return
+        self._index()
+        self._log.info("server gone", server=server_id, revision=revision, reason=reason)
+
+    def confirm(self, asked_at: float) -> None:
+        """Note that the view was complete at a time.
+
+        :param asked_at: time, in seconds, before the store answered
+        """
+        self.confirmed_at = max(self.confirmed_at, asked_at)
+
+    def age(self, now: float) -> float:
+        """Return the seconds since the view was known to be complete."""
+        return now - self.confirmed_at
+
+    def _index(self) -> None:
+        """Group the servers by service. Time linear in their number."""
+        self.changes += 1
+        groups: dict[str, list[ServerEntry]] = {}
+        for entry in self.servers.values():
+            groups.setdefault(entry.service, []).append(entry)
+        self.by_service = groups
--- a/bench/claims.py
+++ b/bench/claims.py
@@ -8,7 +8,7 @@
 
 from basilwinch.observability import DecisionLog
 from basilwinch.order import OrderConfig, OrderRequest, OrderRunner
-from basilwinch.platform import Compare, KeyValue
+from basilwinch.store import Compare, KeyValue
 from basilwinch.server import ServiceCall, ServiceReply
 from basilwinch.standin import MemoryKeyValueStore
 
