--- a/basilwinch/chains/path.py
+++ b/basilwinch/chains/path.py
@@ -10,6 +10,8 @@
 # Time that a crossing between zones counts for, per pass. All zones share one pipe; a prompt of the
 # usual size takes it for about 25 ms, which is spread over the passes of a response.
 _CROSSING_MS = 4.0
+# Time that a further member costs per pass: the way to it and the wait for the start of its pass.
+_MEMBER_MS = 0.5
 _MOST_MEMBERS = 32  # the servers refuse longer paths
 
 
@@ -108,6 +110,7 @@
             position = end
             _, stage, end = best[position][stage.entry.zone]
         return PathChoice(members, pass_ms, read_ms)
+        return PathChoice(members, pass_ms, read_ms)
 
 
 def _options(stage, cut, cuts, best, tokens):
@@ -116,7 +119,7 @@
     for end in cuts:
         if cut < end <= last and end in best and stage.room >= tokens * (end - cut):
             rest = best[end][stage.entry.zone][0]
-            yield (stage.weighted_ms * (end - cut) + rest, stage, end)
+            yield (stage.weighted_ms * (end - cut) + _MEMBER_MS + rest, stage, end)
 
 
 class _Stage:
