--- a/basilwinch/chains/load.py
+++ b/basilwinch/chains/load.py
@@ -100,7 +100,9 @@
         return self._clock() < until
 
     def forget(self, known) -> None:
-        """Drop what is held about servers that are gone."""
-        for table in (self.own, self._suspects, self.pace):
+        """Drop what is held about servers that are gone, but for those that requests still use."""
+        for server_id in [s for s, share in self.own.items() if not share.requests]:
+            del self.own[server_id]
+        for table in (self._suspects, self.pace):
             for server_id in [s for s in table if s not in known]:
                 del table[server_id]
--- a/basilwinch/forward/selection.py
+++ b/basilwinch/forward/selection.py
@@ -61,7 +61,8 @@
 
     def forget(self, known) -> None:
         """Drop servers that are gone."""
-        for server_id in [s for s in self._health if s not in known]:
+        gone = [s for s, h in self._health.items() if s not in known and not h.outstanding]
+        for server_id in gone:
             del self._health[server_id]
 
     def has_room(self, servers) -> bool:
--- a/basilwinch/wire/server.py
+++ b/basilwinch/wire/server.py
@@ -111,6 +111,9 @@
             await self._reject(error)
         except h11.LocalProtocolError as error:
             self._log.warning("response broken off", error=repr(error))
+        except Exception:
+            # A fault in the handling of one request must not end the others.
+            self._log.exception("request failed on a fault of this program")
         finally:
             with trio.move_on_after(_CLOSE_S) as scope:
                 scope.shield = True
