--- a/basilwinch/chains/__init__.py
+++ b/basilwinch/chains/__init__.py
@@ -1,4 +1,4 @@
-"""Chains of servers that together hold a model: layout, paths, load and the orders to hold layers."""
+"""Chains of servers that together hold a model: layout, paths, load and orders."""
 
 from basilwinch.chains.layout import Member, plan_chains
 from basilwinch.chains.load import FleetLoad
--- a/basilwinch/chains/keeper.py
+++ b/basilwinch/chains/keeper.py
@@ -155,5 +155,3 @@
 
 def _describe(chains) -> list[str]:
     return [" ".join(f"{m.server}={m.first}-{m.end}" for m in chain) for chain in chains]
-
-
--- a/basilwinch/chains/path.py
+++ b/basilwinch/chains/path.py
@@ -79,7 +79,9 @@
                 if first <= cut < end:
                     starting[cut].append(stage)
         for cut in reversed(cuts[:-1]):
-            options = [o for stage in starting[cut] for o in _options(stage, cut, cuts, best, tokens)]
+            options = [
+                o for stage in starting[cut] for o in _options(stage, cut, cuts, best, tokens)
+            ]
             if not options:
                 continue
             best[cut] = {
--- a/basilwinch/daemon/connected.py
+++ b/basilwinch/daemon/connected.py
@@ -19,9 +19,9 @@
     ReleaseSource,
     UdpTransport,
 )
-from basilwinch.store import KeyValueStore
 from basilwinch.release import Follower, FollowerConfig
 from basilwinch.settings import Settings
+from basilwinch.store import KeyValueStore
 
 __all__ = ["build_follower", "build_membership", "connect_exchanges", "follow_members"]
 
--- a/basilwinch/daemon/node.py
+++ b/basilwinch/daemon/node.py
@@ -25,10 +25,10 @@
     RequestIds,
 )
 from basilwinch.membership import Membership
-from basilwinch.store.etcd import EtcdConfig, EtcdStore
 from basilwinch.release import Publisher, ReleaseNote, State, read_note_file
 from basilwinch.server import HttpEngineClient, HttpServiceClient
 from basilwinch.settings import Settings
+from basilwinch.store.etcd import EtcdConfig, EtcdStore
 
 __all__ = ["Node"]
 
--- a/basilwinch/entry/node.py
+++ b/basilwinch/entry/node.py
@@ -134,9 +134,7 @@
         self._log.info("drained", left=len(self._connections))
 
     async def _listen(self, address, handle) -> None:
-        listeners = await trio.open_tcp_listeners(
-            address.port, host=address.host, backlog=_BACKLOG
-        )
+        listeners = await trio.open_tcp_listeners(address.port, host=address.host, backlog=_BACKLOG)
 
         async def serve(stream):
             stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/basilwinch/forward/forwarder.py
+++ b/basilwinch/forward/forwarder.py
@@ -19,7 +19,7 @@
 
 __all__ = ["Forwarder"]
 
-# Part of the time in which a withdrawn key must be refused: with a view older than that, a key can't
+# Part of the time in which a withdrawn key must be refused: with an older view, a key can't
 # be relied on. The rest covers the way from the store and a request under way.
 _STALE_PART = 0.75
 _RETRY_AFTER_S = 0.5  # for a node that has no view; others have one
--- a/basilwinch/lease/holder.py
+++ b/basilwinch/lease/holder.py
@@ -11,8 +11,8 @@
     Failure,
     PlatformError,
 )
-from basilwinch.store import Compare, KeyValue, KeyValueStore
 from basilwinch.record import Record
+from basilwinch.store import Compare, KeyValue, KeyValueStore
 
 __all__ = ["HeldLease", "LeaseConfig", "LeaseHolder"]
 
--- a/basilwinch/membership/source.py
+++ b/basilwinch/membership/source.py
@@ -1,8 +1,8 @@
 """The platform's head as the source of revisions."""
 
-from basilwinch.store import KeyValue, KeyValueStore, WatchEvent
 from basilwinch.release import Follower, Replica
 from basilwinch.release.layout import HEAD, Head
+from basilwinch.store import KeyValue, KeyValueStore, WatchEvent
 
 __all__ = ["ReleaseSource"]
 
--- a/basilwinch/membership/tests/test_failure.py
+++ b/basilwinch/membership/tests/test_failure.py
@@ -7,8 +7,8 @@
 from basilwinch.membership import Keyring, MemberState
 from basilwinch.membership.packet import Sealer
 from basilwinch.membership.simulation import Cluster, publish
-from basilwinch.store import VmEntry, VmState
 from basilwinch.standin import LaggingVmList, MemoryKeyValueStore
+from basilwinch.store import VmEntry, VmState
 
 SPREAD_S = 3.0
 
--- a/basilwinch/order/runner.py
+++ b/basilwinch/order/runner.py
@@ -27,8 +27,8 @@
 from basilwinch.order.outcome import OrderConfig, OrderDone, OrderNotRun, OrderRequest, OrderUnknown
 from basilwinch.order.settlement import Settlement
 from basilwinch.order.writer import ClaimWriter, Entry
-from basilwinch.store import KeyValue, KeyValueStore
 from basilwinch.server import ServiceClient, ServiceReply
+from basilwinch.store import KeyValue, KeyValueStore
 
 __all__ = ["OrderRunner"]
 
--- a/basilwinch/order/settlement.py
+++ b/basilwinch/order/settlement.py
@@ -9,8 +9,8 @@
 from basilwinch.order.claim import Claim, ClaimState
 from basilwinch.order.outcome import OrderConfig, make_query
 from basilwinch.order.writer import ClaimWriter
-from basilwinch.store import KeyValue
 from basilwinch.server import ServiceCall, ServiceClient, ServiceReply
+from basilwinch.store import KeyValue
 
 __all__ = ["Settlement"]
 
--- a/basilwinch/release/follower.py
+++ b/basilwinch/release/follower.py
@@ -6,12 +6,12 @@
 import trio
 
 from basilwinch.exception import RELEASE_FORKED, RELEASE_GAP, Failure, PlatformError
-from basilwinch.store import KeyValueStore
 from basilwinch.record import Record
 from basilwinch.release.layout import HEAD
 from basilwinch.release.loader import load_state, read_head, read_history
 from basilwinch.release.reinstate import reinstate
 from basilwinch.release.replica import Replica
+from basilwinch.store import KeyValueStore
 
 __all__ = ["Follower", "FollowerConfig"]
 
--- a/basilwinch/release/layout.py
+++ b/basilwinch/release/layout.py
@@ -13,10 +13,10 @@
 import json
 
 from basilwinch.exception import RELEASE_MALFORMED, PlatformError
-from basilwinch.store import KeyValue
 from basilwinch.record import Record
 from basilwinch.release.change import Change
 from basilwinch.release.state import Revision
+from basilwinch.store import KeyValue
 
 __all__ = ["Body", "HEAD", "Head", "NOTES", "PAGES", "TABLES", "Table", "note_key", "page_key"]
 
--- a/basilwinch/release/loader.py
+++ b/basilwinch/release/loader.py
@@ -3,10 +3,10 @@
 import trio
 
 from basilwinch.exception import RELEASE_GAP, RELEASE_MALFORMED, PlatformError
-from basilwinch.store import KeyValueStore
 from basilwinch.release.layout import HEAD, NOTES, PAGES, Body, Head, Table, note_key
 from basilwinch.release.state import Revision, State
 from basilwinch.release.steps import finish_in_turns
+from basilwinch.store import KeyValueStore
 
 __all__ = [
     "apply_stored",
--- a/basilwinch/release/maintenance.py
+++ b/basilwinch/release/maintenance.py
@@ -1,11 +1,11 @@
 """Removal of old history and of values that no revision uses."""
 
 from basilwinch.exception import PlatformError
-from basilwinch.store import Compare, KeyValueStore
 from basilwinch.release.layout import HEAD, NOTES, PAGES, TABLES, Body, revision_of
 from basilwinch.release.loader import read_head, read_table
 from basilwinch.release.state import Revision
 from basilwinch.release.writer import GRACE
+from basilwinch.store import Compare, KeyValueStore
 
 __all__ = ["HISTORY", "maintain", "sweep", "trim_history"]
 
--- a/basilwinch/release/publisher.py
+++ b/basilwinch/release/publisher.py
@@ -14,7 +14,6 @@
     Failure,
     PlatformError,
 )
-from basilwinch.store import KeyValueStore
 from basilwinch.record import Record
 from basilwinch.release.change import touched
 from basilwinch.release.layout import Body, Head, Table
@@ -31,6 +30,7 @@
 from basilwinch.release.plan import plan_note
 from basilwinch.release.state import Revision, State
 from basilwinch.release.writer import Draft, write_draft
+from basilwinch.store import KeyValueStore
 
 __all__ = ["Publication", "Publisher"]
 
--- a/basilwinch/release/reinstate.py
+++ b/basilwinch/release/reinstate.py
@@ -1,6 +1,5 @@
 """Return of accepted notes to a platform that was restored from an older state."""
 
-from basilwinch.store import KeyValueStore
 from basilwinch.release.change import Change, combine
 from basilwinch.release.layout import Body, Head, Table
 from basilwinch.release.loader import load_head, read_recent
@@ -10,6 +9,7 @@
 from basilwinch.release.state import TRAIL_LENGTH, Revision, State, encode_page, fields_of
 from basilwinch.release.steps import finish_in_turns
 from basilwinch.release.writer import Draft, write_draft
+from basilwinch.store import KeyValueStore
 
 __all__ = ["compare_states", "merge_fork", "reinstate"]
 
--- a/basilwinch/release/writer.py
+++ b/basilwinch/release/writer.py
@@ -9,11 +9,11 @@
     RELEASE_GAP,
     PlatformError,
 )
-from basilwinch.store import Compare, KeyValue, KeyValueStore
 from basilwinch.release.layout import HEAD, Body, Head, Table, page_key
 from basilwinch.release.loader import read_head, read_history, read_table
 from basilwinch.release.mapping import bucket_of
 from basilwinch.release.state import State, encode_page
+from basilwinch.store import Compare, KeyValue, KeyValueStore
 
 __all__ = ["GRACE", "Draft", "write_draft"]
 
--- a/basilwinch/standin/etcd.py
+++ b/basilwinch/standin/etcd.py
@@ -12,9 +12,9 @@
     Failure,
     PlatformError,
 )
+from basilwinch.standin.keyvalue import MemoryKeyValueStore
 from basilwinch.store.interface import Compare, KeyValue
 from basilwinch.store.message import decode, encode, prefix_end
-from basilwinch.standin.keyvalue import MemoryKeyValueStore
 
 __all__ = ["EtcdGateway"]
 
--- a/basilwinch/standin/tests/test_keyvalue.py
+++ b/basilwinch/standin/tests/test_keyvalue.py
@@ -5,8 +5,8 @@
 import trio.testing
 
 from basilwinch.exception import BasilwinchError
-from basilwinch.store import Compare, KeyValue
 from basilwinch.standin import LaggingVmList, MemoryKeyValueStore
+from basilwinch.store import Compare, KeyValue
 
 
 def run(main):
--- a/basilwinch/store/etcd.py
+++ b/basilwinch/store/etcd.py
@@ -20,6 +20,7 @@
     Failure,
     PlatformError,
 )
+from basilwinch.record import Record
 from basilwinch.store.interface import (
     Compare,
     KeyValue,
@@ -28,7 +29,6 @@
     Transaction,
 )
 from basilwinch.store.message import decode_events, decode_pair, encode, prefix_end
-from basilwinch.record import Record
 
 __all__ = ["EtcdConfig", "EtcdStore"]
 
--- a/basilwinch/store/tests/test_etcd.py
+++ b/basilwinch/store/tests/test_etcd.py
@@ -8,10 +8,10 @@
 import trio
 
 from basilwinch.exception import BasilwinchError
-from basilwinch.store import Compare, KeyValue
-from basilwinch.store.etcd import EtcdConfig, EtcdStore
 from basilwinch.standin import MemoryKeyValueStore
 from basilwinch.standin.etcd import EtcdGateway
+from basilwinch.store import Compare, KeyValue
+from basilwinch.store.etcd import EtcdConfig, EtcdStore
 
 
 @asynccontextmanager
--- a/bench/claims.py
+++ b/bench/claims.py
@@ -8,9 +8,9 @@
 
 from basilwinch.observability import DecisionLog
 from basilwinch.order import OrderConfig, OrderRequest, OrderRunner
-from basilwinch.store import Compare, KeyValue
 from basilwinch.server import ServiceCall, ServiceReply
 from basilwinch.standin import MemoryKeyValueStore
+from basilwinch.store import Compare, KeyValue
 
 __all__ = ["LAYOUTS", "measure_layout"]
 
--- a/bench/gateway.py
+++ b/bench/gateway.py
@@ -13,10 +13,10 @@
 from basilwinch.load.caller import StreamCall
 from basilwinch.observability import DecisionLog
 from basilwinch.placement import read_placements
-from basilwinch.store.etcd import EtcdConfig, EtcdStore
 from basilwinch.release import load_state
 from basilwinch.routing import ChainRouter, RouteRequest, RoutingConfig
 from basilwinch.server import EngineCall, HttpEngineClient
+from basilwinch.store.etcd import EtcdConfig, EtcdStore
 from bench.processes import KEY, Processes, read_metric
 
 __all__ = ["main"]
--- a/bench/recovery_orders.py
+++ b/bench/recovery_orders.py
@@ -15,9 +15,9 @@
 from basilwinch.history import Answered, History, Invoked, OrderRan, Outcome, check_history
 from basilwinch.observability import DecisionLog
 from basilwinch.order import OrderConfig, OrderDone, OrderNotRun, OrderRequest, OrderRunner
-from basilwinch.store import Compare, KeyValue
 from basilwinch.server import ServiceCall
 from basilwinch.standin import DirectClient, MemoryKeyValueStore, PlainServices
+from basilwinch.store import Compare, KeyValue
 
 __all__ = ["run_orders"]
 
