--- a/basilwinch/entry/node.py
+++ b/basilwinch/entry/node.py
@@ -19,7 +19,7 @@
 from basilwinch.forward.stream import StreamForwarder
 from basilwinch.lease import LeaseConfig, LeaseHolder
 from basilwinch.peers.exchange import NODES_PREFIX, PeerExchange
-from basilwinch.view import CallerLimits, View
+from basilwinch.view import CallerLimits, View, read_boot_clock
 from basilwinch.view.followed import FollowedStore
 from basilwinch.view.follower import Follower, ViewSource
 from basilwinch.wire import CallerConnection, ConnectionPool
@@ -30,7 +30,9 @@
 _KEEP_S = 4.0  # idle connections to servers; servers state no more than a few seconds
 _MOST_IDLE = 16  # idle connections to one server
 _BACKLOG = 1024
-_READY_AGE_S = 3.0  # a node with an older view takes no new callers
+# A node with an older view takes no new callers. A sound view is at most a watch and a slow answer
+# old, and the balancer needs two misses before the view is too old to serve with.
+_READY_AGE_S = 2.2
 _STOP_ACCEPT_S = 3.0  # callers come until the balancer has missed two answers, one a second
 _STOP_MARGIN_S = 1.0  # before the kill
 _SWEEP_S = 1.0
@@ -65,7 +67,7 @@
         self._peers = PeerExchange(
             settings.name, settings.ip, settings.peer_port, self._store, self.load, rng
         )
-        self._follower = Follower(source, self.view, rng)
+        self._follower = Follower(source, self.view, rng, read_boot_clock)
         self._follower.on_key = self._take_key
         selection = ServerSelection(settings.zone, clock, rng)
         nodes = self._count_nodes
@@ -94,7 +96,7 @@
 
     async def run(self) -> None:
         """Serve until a signal asks to stop."""
-        self.metrics.watch_view(self.view, trio.current_time)
+        self.metrics.watch_view(self.view, read_boot_clock)
         settings = self._settings
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._listen, settings.ready, self._answer_ready)
@@ -162,7 +164,7 @@
     def _is_ready(self) -> bool:
         if self._stopping or self.view.configuration is None:
             return False
-        return self.view.age(trio.current_time()) < _READY_AGE_S
+        return self.view.age(read_boot_clock()) < _READY_AGE_S
 
     def _limits(self) -> CallerLimits:
         configuration = self.view.configuration
--- a/basilwinch/forward/forwarder.py
+++ b/basilwinch/forward/forwarder.py
@@ -15,14 +15,16 @@
 )
 from basilwinch.forward.context import Context
 from basilwinch.forward.outcome import Answered
-from basilwinch.view import RouteKind
+from basilwinch.view import RouteKind, read_boot_clock
 
 __all__ = ["Forwarder"]
 
 # Part of the time in which a withdrawn key must be refused: with an older view, a key can't
 # be relied on. The rest covers the way from the store and a request under way.
 _STALE_PART = 0.75
-_RETRY_AFTER_S = 0.5  # for a node that has no view; others have one
+# For a node without a sound view: callers return on a new connection, so another node takes them,
+# and a wait would only make them late.
+_ELSEWHERE_S = 0.02
 
 
 class Forwarder:
@@ -72,7 +74,7 @@
         """Return what is needed to forward a request, or why it can't be."""
         configuration = self._services.view.configuration
         if configuration is None:
-            return NO_CONFIGURATION.because("no configuration yet", _RETRY_AFTER_S)
+            return NO_CONFIGURATION.because("no configuration yet", _ELSEWHERE_S)
         host = exchange.headers.get(b"host", b"").decode("latin-1").partition(":")[0]
         path = exchange.target.partition(b"?")[0].decode("latin-1")
         route = configuration.find_route(host, path)
@@ -80,9 +82,9 @@
             return NOT_FOUND.because(f"no route in version {configuration.version}")
         organisation = None
         if configuration.organisations is not None and not route.open:
-            age_s = self._services.view.age(now)
+            age_s = self._services.view.age(read_boot_clock())
             if self._bounds.revoke_closed and age_s > self._bounds.revoke_s * _STALE_PART:
-                return STALE_CONFIGURATION.because(f"view is {age_s:.2f} s old", _RETRY_AFTER_S)
+                return STALE_CONFIGURATION.because(f"view is {age_s:.2f} s old", _ELSEWHERE_S)
             organisation = configuration.organisations.get(info.key)
             if organisation is None:
                 return WRONG_KEY.because(f"key unknown in version {configuration.version}")
--- a/basilwinch/platform/store.py
+++ b/basilwinch/platform/store.py
@@ -23,7 +23,7 @@
 __all__ = ["Changes", "MetadataStore"]
 
 _CALL_TIMEOUT_S = 1.5  # the store answers in 4 ms; slow days take up to 100 times as long
-_WATCH_SLACK_S = 1.0  # beyond the time that a watch asked for
+_WATCH_SLACK_S = 0.6  # beyond the time that a watch asked for; covers an answer 100 times as slow
 _CONNECT_TIMEOUT_S = 0.5
 _KEEP_S = 30.0
 _MOST_IDLE = 4
--- /dev/null
+++ b/basilwinch/platform/tests/conftest.py
@@ -0,0 +1,155 @@
+"""Fixtures: a node before the stand-in platform."""
+
+import contextlib
+import socket
+
+import pytest
+import trio
+
+from basilwinch.entry.node import EntryNode
+from basilwinch.entry.settings import Address, Bounds, EntrySettings
+from basilwinch.exception import ServerError
+from basilwinch.platform import Dialect, MetadataStore, decode_configuration, decode_server
+from basilwinch.platform.documents import CONFIGURATION_KEY, SERVERS_PREFIX
+from basilwinch.platform.tests.standin import StandinPlatform
+from basilwinch.view.follower import ViewSource
+from basilwinch.wire import connect
+
+KEY = "key-1"
+
+
+def _route(name, prefix, kind, service, **fields):
+    common = {"name": name, "host": "h.example", "prefix": prefix, "kind": kind}
+    common |= {"service": service, "timeout-ms": 2000, "slo-ms": 400, "max-attempts": 2}
+    return common | {"priority": 1} | fields
+
+
+@pytest.fixture
+def configuration():
+    engine = {
+        "layers": 8,
+        "layer-mb": 1000.0,
+        "kv-token-bytes": 80000,
+        "kinds": [{"name": "card", "mb": 6000.0, "pace": 1.0, "read-x": 1.0}],
+        "step_ms": 1.0,
+        "per_seq_ms": 0.01,
+        "context_per_k": 0.01,
+        "read_per_s": 100000.0,
+        "stride": 3,
+        "models": [{"name": "m", "load-s": 0.1}],
+        "slots": 8,
+    }
+    return {
+        "version": 3,
+        "routes": [
+            _route("safe", "/safe/", "idempotent", "plain"),
+            _route("unsafe", "/unsafe/", "non_idempotent", "plain", **{"max-attempts": 1}),
+            _route("stream", "/s/", "streaming", "llm", **{"can-resume": True}),
+        ],
+        "services": [{"name": "plain"}, {"name": "llm", "engine": engine}],
+        "tenants": [{"name": "org", "api-keys": [KEY]}],
+    }
+
+
+def _free_port() -> int:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+class Site:
+    """A running node with its platform."""
+
+    def __init__(self, platform, node, settings, nursery):
+        self.platform = platform
+        self.node = node
+        self.settings = settings
+        self.nursery = nursery
+
+    async def call(self, method, path, request_id, body=b"", key=KEY, headers=(), deadline_ms=1500):
+        """Send a request; return status, header and body."""
+        connection = await connect("127.0.0.1", self.settings.front.port, 1.0)
+        try:
+            header = [
+                (b"Host", b"h.example"),
+                (b"X-Request-Id", request_id),
+                (b"X-Deadline-Ms", b"%d" % deadline_ms),
+                (b"X-Credential", key.encode()),
+                (b"Content-Length", b"%d" % len(body)),
+                *headers,
+            ]
+            await connection.send(method, path, header, body)
+            response = await connection.receive_head()
+            body = await connection.receive_body(1 << 20)
+            return response.status_code, dict(response.headers), body
+        finally:
+            connection.close()
+
+    async def until(self, condition):
+        """Wait until a condition holds."""
+        with trio.fail_after(10):
+            while not condition():
+                await trio.sleep(0.02)
+
+    async def ready(self) -> int:
+        """Return the status of the readiness address."""
+        connection = await connect("127.0.0.1", self.settings.ready.port, 1.0)
+        try:
+            await connection.send(b"GET", b"/-/readyz", [], b"")
+            return (await connection.receive_head()).status_code
+        finally:
+            connection.close()
+
+
+@contextlib.asynccontextmanager
+async def run_site(configuration, plain=2, chains=2):
+    """Run a node with some servers; chains have two members each."""
+    async with trio.open_nursery() as nursery:
+        platform = StandinPlatform(configuration)
+        await platform.start(nursery)
+        for number in range(plain):
+            await platform.add_server(nursery, f"p{number}", "plain")
+        for number in range(chains * 2):
+            await platform.add_server(nursery, f"c{number}", "llm", "card")
+        address = [Address("127.0.0.1", _free_port()) for _ in range(3)]
+        bounds = Bounds(2.0, 4.0, 5.0, True, 0.2, 10.0, 100, 3.0)
+        settings = EntrySettings(
+            "n1", "z0", "127.0.0.1", *address, _free_port(), None, 300, 4096, bounds
+        )
+        store = MetadataStore("127.0.0.1", platform.port)
+        source = ViewSource(
+            store, CONFIGURATION_KEY, SERVERS_PREFIX, decode_configuration, decode_server
+        )
+        node = EntryNode.from_config(settings, store, source, Dialect(), seed=1)
+        nursery.start_soon(node.run)
+        site = Site(platform, node, settings, nursery)
+        await site.until(lambda: node.view.configuration is not None)
+        await site.until(lambda: all(s.layers for s in platform.servers if s.kind))
+        llm = [s.id for s in platform.servers if s.kind]
+        await site.until(lambda: all(node.view.servers[s].layers for s in llm))
+        await _wait_for_front(settings)
+        yield site
+        nursery.cancel_scope.cancel()
+
+
+async def _wait_for_front(settings):
+    for _ in range(100):
+        with contextlib.suppress(ServerError):
+            (await connect("127.0.0.1", settings.front.port, 0.5)).close()
+            return
+        await trio.sleep(0.02)
+
+
+@pytest.fixture
+def run_with(configuration):
+    """Return a function that runs an async test with a site."""
+
+    def run(test, **options):
+        async def main():
+            with trio.fail_after(30):
+                async with run_site(configuration, **options) as site:
+                    await test(site)
+
+        trio.run(main)
+
+    return run
--- /dev/null
+++ b/basilwinch/platform/tests/standin.py
@@ -0,0 +1,256 @@
+"""Stand-in of the platform's store and of its servers, on loopback, for tests."""
+
+import base64
+import json
+import socket
+import urllib.parse
+
+import trio
+
+from basilwinch.view import CallerLimits
+from basilwinch.wire import CallerConnection
+
+__all__ = ["StandinPlatform"]
+
+_SERVED_EVENTS = 6
+_EVENT_S = 0.01
+
+
+class StandinServer:
+    """A server of the stand-in; ``faults`` change how it answers its next requests."""
+
+    def __init__(self, server_id, service, port, kind=None):
+        self.id = server_id
+        self.service = service
+        self.port = port
+        self.kind = kind
+        self.layers = None
+        self.orders = 0
+        self.runs: list[bytes] = []
+        self.headers: list[dict] = []
+        self.faults: list[str] = []
+        self.state = "ready"
+
+    def entry(self) -> dict:
+        fields = {
+            "service": self.service,
+            "address": f"127.0.0.1:{self.port}",
+            "zone": "z0",
+            "slots": 8,
+            "state": self.state,
+            "sequence": 1,
+            "born": 1,
+        }
+        if self.kind:
+            fields["kind"] = self.kind
+        if self.layers:
+            fields["layers"] = {"from": self.layers[0], "to": self.layers[1], "version": 1}
+        return fields
+
+
+class StandinPlatform:
+    """The store and the servers.
+
+    :param configuration: value of ``op/config``
+    """
+
+    def __init__(self, configuration: dict):
+        self.items: dict[str, tuple[bytes, int, int]] = {}
+        self.revision = 1
+        self.oldest = 0
+        self.events: list[dict] = []
+        self.leases: dict[int, float] = {}
+        self.changed = trio.Event()
+        self.servers: list[StandinServer] = []
+        self.down: int | None = None
+        self.calls = 0
+        self.port = 0
+        self.put("op/config", json.dumps(configuration).encode())
+
+    async def start(self, nursery) -> None:
+        """Serve the store."""
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        self.port = listeners[0].socket.getsockname()[1]
+        nursery.start_soon(trio.serve_listeners, self._serve_with(self._answer), listeners)
+
+    async def add_server(self, nursery, server_id, service, kind=None) -> StandinServer:
+        """Start a server and register it."""
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        server = StandinServer(server_id, service, listeners[0].socket.getsockname()[1], kind)
+        self.servers.append(server)
+
+        async def answer(exchange):
+            await self._answer_server(server, exchange)
+
+        nursery.start_soon(trio.serve_listeners, self._serve_with(answer), listeners)
+        self.register(server)
+        return server
+
+    def register(self, server: StandinServer) -> None:
+        """Write a server's entry."""
+        self.put(f"servers/{server.id}", json.dumps(server.entry()).encode())
+
+    def put(self, key: str, value: bytes, lease: int = 0) -> None:
+        """Change a key."""
+        self.revision += 1
+        self.items[key] = (value, self.revision, lease)
+        self.events.append(self._item(key))
+        self._notify()
+
+    def delete(self, key: str) -> None:
+        """Remove a key."""
+        self.revision += 1
+        self.items.pop(key, None)
+        self.events.append({"key": key, "revision": self.revision, "deleted": True})
+        self._notify()
+
+    def forget_history(self) -> None:
+        """Drop the history and cut the watches."""
+        self.events.clear()
+        self.oldest = self.revision
+        self._notify()
+
+    def _notify(self) -> None:
+        self.changed.set()
+        self.changed = trio.Event()
+
+    def _serve_with(self, answer):
+        async def serve(stream):
+            await CallerConnection(stream, answer, CallerLimits).run()
+
+        return serve
+
+    def _item(self, key: str) -> dict:
+        value, revision, lease = self.items[key]
+        text = base64.b64encode(value).decode()
+        fields = {"key": key, "value": text, "revision": revision}
+        return fields | {"create-rev": revision, "lease": lease}
+
+    async def _answer(self, exchange) -> None:
+        self.calls += 1
+        if self.down is not None:
+            if self.down == 0:
+                await trio.sleep_forever()
+            await exchange.respond(self.down, [], b"")
+            return
+        path, _, text = exchange.target.decode().partition("?")
+        query = dict(urllib.parse.parse_qsl(text, keep_blank_values=True))
+        body = json.loads(exchange.body) if exchange.body else {}
+        name = path.rsplit("/", 1)[-1] if path.count("/") == 3 else ""
+        call = path.removesuffix(f"/{name}") if name else path
+        status, fields = await self._calls()[call](query, body, name)
+        await exchange.respond(status, [], json.dumps(fields).encode())
+
+    def _calls(self) -> dict:
+        return {
+            "/-/kv-key": self._read_key,
+            "/-/kv-range": self._read_range,
+            "/-/kv-watch": self._watch,
+            "/-/kv-txn": self._transact,
+            "/-/kv-lease": self._grant,
+            "/-/kv-keep": self._keep,
+            "/-/kv-lease-end": self._end,
+        }
+
+    async def _read_key(self, query, body, name):
+        if query["key"] not in self.items:
+            return 404, {"as-of": self.revision}
+        return 200, self._item(query["key"]) | {"as-of": self.revision}
+
+    async def _read_range(self, query, body, name):
+        after = query.get("after", "")
+        keys = sorted(k for k in self.items if k.startswith(query["prefix"]) and k > after)
+        page = [self._item(key) for key in keys[:5]]
+        return 200, {"items": page, "more-pages": len(keys) > 5, "as-of": self.revision}
+
+    async def _watch(self, query, body, name):
+        after = int(query["after"])
+        with trio.move_on_after(int(query["wait-ms"]) / 1000):
+            while after >= self.oldest and not self._after(after, query["prefix"]):
+                await self.changed.wait()
+        if after < self.oldest:
+            return 410, {}
+        return 200, {"events": self._after(after, query["prefix"]), "as-of": self.revision}
+
+    def _after(self, after, prefix):
+        return [e for e in self.events if e["revision"] > after and e["key"].startswith(prefix)]
+
+    async def _transact(self, query, body, name):
+        for row in body["expected"]:
+            held = self.items.get(row["key"], (b"", 0, 0))[1]
+            if held != row["revision"]:
+                return 412, {"items": []}
+        for put in body["writes"]:
+            self.put(put["key"], base64.b64decode(put["value"]), put.get("lease", 0))
+        for key in body["remove"]:
+            self.delete(key)
+        return 200, {"revision": self.revision}
+
+    async def _grant(self, query, body, name):
+        lease = len(self.leases) + 1
+        self.leases[lease] = body["ttl-ms"]
+        return 200, {"lease": lease, "ttl-ms": body["ttl-ms"]}
+
+    async def _keep(self, query, body, name):
+        ttl = self.leases.get(int(name))
+        return (404, {}) if ttl is None else (200, {"ttl-ms": ttl})
+
+    async def _end(self, query, body, name):
+        self.leases.pop(int(name), None)
+        for key in [k for k, item in self.items.items() if item[2] == int(name)]:
+            self.delete(key)
+        return 200, {}
+
+    async def _answer_server(self, server, exchange) -> None:
+        if exchange.target == b"/-/report":
+            report = {"sequence": server.orders, "layers": server.layers}
+            await exchange.respond(200, [], json.dumps(report).encode())
+        elif exchange.target == b"/-/order":
+            order = json.loads(exchange.body)
+            server.orders += 1
+            server.layers = (order["from"], order["to"])
+            self.register(server)
+            await exchange.respond(202, [], b"")
+        else:
+            await self._run(server, exchange)
+
+    async def _run(self, server, exchange) -> None:
+        request_id = exchange.headers[b"x-request-id"]
+        fault = server.faults.pop(0) if server.faults else ""
+        header = [(b"X-Request-Id", request_id)]
+        if fault == "full":
+            await exchange.respond(503, [*header, (b"X-Not-Executed", b"1")], b"")
+            return
+        if fault == "mute":
+            await trio.sleep_forever()
+        server.runs.append(request_id)
+        server.headers.append(exchange.headers)
+        if fault == "reset":
+            _reset(exchange)
+            return
+        header.append((b"X-Server-Stamp", server.id.encode()))
+        if fault == "error":
+            await exchange.respond(500, header, b"failed")
+        elif server.kind is None:
+            await exchange.respond(200, header, b"done by " + server.id.encode())
+        else:
+            await self._stream(exchange, header, fault)
+
+    async def _stream(self, exchange, header, fault) -> None:
+        start = int(exchange.headers.get(b"last-event-id", b"0")) + 1
+        await exchange.start(200, header)
+        for number in range(start, _SERVED_EVENTS + 1):
+            await trio.sleep(_EVENT_S)
+            await exchange.send(b"id: %d\ndata: token\n\n" % number)
+            if fault == "cut" and number == 3:
+                await exchange.send(b"id: 4\nda")
+                _reset(exchange)
+                return
+        await exchange.end()
+
+
+def _reset(exchange) -> None:
+    """Reset the connection of a request."""
+    sock = exchange._connection._stream.socket
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+    sock.close()
--- /dev/null
+++ b/basilwinch/platform/tests/test_path.py
@@ -0,0 +1,205 @@
+"""The whole path: a caller, a node, the platform's store and its servers."""
+
+import json
+
+import trio
+
+
+def _runs(site, service):
+    return [r for s in site.platform.servers if s.service == service for r in s.runs]
+
+
+def test_plain_request_is_served_with_the_servers_signature(run_with):
+    async def test(site):
+        status, header, body = await site.call(b"GET", b"/safe/a?b=1", b"r1")
+        assert status == 200
+        assert body.startswith(b"done by p")
+        assert header[b"x-server-stamp"] == body.rpartition(b" ")[2]
+
+    run_with(test)
+
+
+def test_server_gets_the_organisation_and_never_the_key(run_with):
+    async def test(site):
+        forged = [(b"X-Tenant", b"other"), (b"X-Hop-Count", b"1.1.1.1:1=0-8")]
+        await site.call(b"GET", b"/safe/a", b"r1", headers=forged)
+        seen = [h for s in site.platform.servers for h in s.headers]
+        assert len(seen) == 1
+        assert seen[0][b"x-tenant"] == b"org"
+        assert b"x-credential" not in seen[0]
+        assert b"x-hop-count" not in seen[0]
+
+    run_with(test)
+
+
+def test_idempotent_request_is_repeated_after_a_reset(run_with):
+    async def test(site):
+        for server in site.platform.servers:
+            server.faults = ["reset"] if server.id == "p0" else []
+        for number in range(4):
+            status, _, _ = await site.call(b"GET", b"/safe/a", b"r%d" % number)
+            assert status == 200
+
+    run_with(test)
+
+
+def test_non_idempotent_request_runs_once_and_is_not_called_not_run(run_with):
+    """A reset after the request was sent leaves it unknown whether it ran."""
+
+    async def test(site):
+        for server in site.platform.servers:
+            server.faults = ["reset"]
+        status, _, _ = await site.call(b"POST", b"/unsafe/a", b"r1", b"order")
+        assert status == 502
+        assert _runs(site, "plain") == [b"r1"]
+
+    run_with(test)
+
+
+def test_non_idempotent_request_goes_to_another_server_if_it_has_not_run(run_with):
+    async def test(site):
+        site.platform.servers[0].faults = ["full"]
+        site.platform.servers[1].faults = ["full"]
+        status, header, _ = await site.call(b"POST", b"/unsafe/a", b"r1", b"order")
+        assert status == 503
+        assert float(header[b"retry-after"]) < 1
+        status, _, _ = await site.call(b"POST", b"/unsafe/a", b"r2", b"order")
+        assert status == 200
+        assert _runs(site, "plain") == [b"r2"]
+
+    run_with(test)
+
+
+def test_mute_server_costs_an_idempotent_request_a_second_try_only(run_with):
+    async def test(site):
+        site.platform.servers[0].faults = ["mute"]
+        site.platform.servers[1].faults = []
+        for number in range(3):
+            start = trio.current_time()
+            status, _, _ = await site.call(b"GET", b"/safe/a", b"r%d" % number)
+            assert status == 200
+            assert trio.current_time() - start < 0.4
+
+    run_with(test)
+
+
+def test_unknown_key_and_route_are_refused(run_with):
+    async def test(site):
+        assert (await site.call(b"GET", b"/safe/a", b"r1", key="other"))[0] == 401
+        assert (await site.call(b"GET", b"/none/a", b"r2"))[0] == 404
+
+    run_with(test)
+
+
+def test_stream_is_whole_and_in_order(run_with):
+    async def test(site):
+        tokens = [(b"X-Token-Count", b"100,18")]
+        status, header, body = await site.call(b"POST", b"/s/a", b"r1", b"{}", headers=tokens)
+        assert status == 200
+        assert body == b"".join(b"id: %d\ndata: token\n\n" % n for n in range(1, 7))
+        heads = [h for s in site.platform.servers if s.kind for h in s.headers]
+        hops = heads[0][b"x-hop-count"].decode().split(",")
+        assert [hop.partition("=")[2] for hop in hops] == ["0-4", "4-8"]
+
+    run_with(test)
+
+
+def test_broken_stream_goes_on_at_another_chain_within_one_response(run_with):
+    """The chain breaks off within an event; the rest comes once, in order, from another chain."""
+
+    async def test(site):
+        heads = [s for s in site.platform.servers if s.layers and s.layers[0] == 0]
+        for server in heads:
+            server.faults = ["cut"]
+        tokens = [(b"X-Token-Count", b"100,18")]
+        status, header, body = await site.call(b"POST", b"/s/a", b"r1", b"{}", headers=tokens)
+        assert status == 200
+        assert body == b"".join(b"id: %d\ndata: token\n\n" % n for n in range(1, 7))
+        resumed = [h for s in heads for h in s.headers if b"last-event-id" in h]
+        assert resumed[0][b"last-event-id"] == b"3"
+
+    run_with(test)
+
+
+def test_new_configuration_and_withdrawn_key_take_effect(run_with, configuration):
+    async def test(site):
+        newer = configuration | {"version": 9, "tenants": [{"name": "org", "api-keys": ["key-2"]}]}
+        site.platform.put("op/config", json.dumps(newer).encode())
+        await site.until(lambda: site.node.view.configuration.version == 9)
+        assert (await site.call(b"GET", b"/safe/a", b"r1"))[0] == 401
+        older = json.dumps(configuration).encode()
+        site.platform.put("op/config", older)
+        await trio.sleep(0.5)
+        assert site.node.view.configuration.version == 9
+
+    run_with(test)
+
+
+def test_view_survives_the_loss_of_the_history(run_with):
+    """A server leaves in the gap that a compaction makes; a watch alone would never tell."""
+
+    async def test(site):
+        site.platform.items.pop("servers/p0")
+        site.platform.revision += 1
+        site.platform.forget_history()
+        await site.until(lambda: "p0" not in site.node.view.servers)
+
+    run_with(test)
+
+
+def test_leaving_server_gets_no_requests(run_with):
+    async def test(site):
+        server = site.platform.servers[0]
+        server.state = "draining"
+        site.platform.register(server)
+        await site.until(lambda: site.node.view.servers["p0"].leaving)
+        for number in range(6):
+            await site.call(b"GET", b"/safe/a", b"r%d" % number)
+        assert not server.runs
+
+    run_with(test)
+
+
+def test_keys_are_refused_and_callers_sent_elsewhere_when_the_view_is_too_old(run_with):
+    """A revocation can't be seen without the store, so keys are refused in time."""
+
+    async def test(site):
+        assert await site.ready() == 200
+        site.platform.down = 503
+        with trio.fail_after(6):
+            while (await site.call(b"GET", b"/safe/a", b"r1"))[0] != 503:
+                await trio.sleep(0.1)
+        assert await site.ready() == 503
+        status, header, _ = await site.call(b"GET", b"/safe/a", b"r2")
+        assert float(header[b"retry-after"]) < 0.1
+        site.platform.down = None
+        with trio.fail_after(5):
+            while (await site.call(b"GET", b"/safe/a", b"r3"))[0] != 200:
+                await trio.sleep(0.1)
+
+    run_with(test)
+
+
+def test_servers_that_lapse_during_an_outage_get_time_to_come_back(run_with):
+    async def test(site):
+        site.platform.down = 503
+        await trio.sleep(1.5)
+        site.platform.delete("servers/p0")
+        site.platform.down = None
+        await trio.sleep(1.2)
+        assert "p0" in site.node.view.servers
+        await site.until(lambda: "p0" not in site.node.view.servers)
+
+    run_with(test)
+
+
+def test_garbage_entries_name_no_server(run_with):
+    async def test(site):
+        entries = [b"\xff\x00", b"[]", b'{"service": 7}', b'{"service":"plain","state":"odd"}']
+        for number, value in enumerate(entries):
+            site.platform.put(f"servers/g{number}", value)
+        await trio.sleep(0.6)
+        assert not [s for s in site.node.view.servers if s.startswith("g")]
+        assert (await site.call(b"GET", b"/safe/a", b"r1"))[0] == 200
+
+    run_with(test)
--- a/basilwinch/view/__init__.py
+++ b/basilwinch/view/__init__.py
@@ -11,7 +11,7 @@
     Service,
 )
 from basilwinch.view.server import ServerEntry
-from basilwinch.view.state import View
+from basilwinch.view.state import View, read_boot_clock
 
 __all__ = [
     "CallerLimits",
@@ -24,4 +24,5 @@
     "ServerEntry",
     "Service",
     "View",
+    "read_boot_clock",
 ]
--- a/basilwinch/view/follower.py
+++ b/basilwinch/view/follower.py
@@ -57,7 +57,7 @@
 
     __slots__ = ("_source", "_view", "_rng", "_clock", "_log", "_lost_at", "_missing", "on_key")
 
-    def __init__(self, source: ViewSource, view: View, rng, clock=trio.current_time):
+    def __init__(self, source: ViewSource, view: View, rng, clock):
         self._source = source
         self._view = view
         self._rng = rng
--- a/basilwinch/view/state.py
+++ b/basilwinch/view/state.py
@@ -1,11 +1,22 @@
 """State of the view, free of I/O."""
 
+import time
+
 import structlog
 
 from basilwinch.view.configuration import Configuration
 from basilwinch.view.server import ServerEntry
 
-__all__ = ["View"]
+__all__ = ["View", "read_boot_clock"]
+
+
+def read_boot_clock() -> float:
+    """Return seconds since the VM started, including time in which it was suspended.
+
+    The age of the view must grow while the VM stands still; the clock of trio does not count that.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
 
 
 class View:
--- a/basilwinch/wire/client.py
+++ b/basilwinch/wire/client.py
@@ -171,7 +171,10 @@
         async with trio.open_nursery() as nursery:
 
             async def receive():
-                received.append(await self._sock.recv(_READ_BYTES))
+                try:
+                    received.append(await self._sock.recv(_READ_BYTES))
+                except OSError:
+                    received.append(b"")
                 nursery.cancel_scope.cancel()
 
             nursery.start_soon(receive)
--- a/basilwinch/wire/server.py
+++ b/basilwinch/wire/server.py
@@ -141,6 +141,7 @@
     async def _run_handler(self, exchange: Exchange) -> bool:
         """Run the handler until it ends or the caller goes; return whether the caller went."""
         gone = False
+        failure: Exception | None = None
         async with trio.open_nursery() as nursery:
 
             async def watch():
@@ -159,8 +160,14 @@
                     self._state.receive_data(data)
 
             nursery.start_soon(watch)
-            await self._handle(exchange)
+            try:
+                await self._handle(exchange)
+            except Exception as error:
+                # Kept out of the nursery, which would wrap it in a group.
+                failure = error
             nursery.cancel_scope.cancel()
+        if failure is not None:
+            raise failure
         return gone
 
     async def _receive_request(self) -> h11.Request | None:
