Confirm the view by the store's revision; take no request 2.5 s after SIGTERM

A stopping node accepted callers to the end of the grace time and cut a stream taken 4.5 s after SIGTERM. Now a question for the revision each 1.3 s confirms it, which also finds watches that went silent or dropped events.

--- a/basilwinch/entry/node.py
+++ b/basilwinch/entry/node.py
@@ -11,6 +11,7 @@
 from basilwinch.chains.keeper import Keeper
 from basilwinch.entry.metrics import Metrics
 from basilwinch.entry.settings import EntrySettings
+from basilwinch.exception import DRAINING
 from basilwinch.forward.budget import RetryBudget
 from basilwinch.forward.forwarder import Forwarder
 from basilwinch.forward.plain import PlainForwarder
@@ -33,7 +34,10 @@
 # A node with an older view takes no new callers. A sound view is at most a watch and a slow answer
 # old, and the balancer needs two misses before the view is too old to serve with.
 _READY_AGE_S = 2.2
-_STOP_ACCEPT_S = 3.0  # callers come until the balancer has missed two answers, one a second
+# Callers come until the balancer has missed two answers, one a second. A request taken later
+# might not end before the kill.
+_STOP_ACCEPT_S = 2.5
+_ELSEWHERE_S = 0.02  # Retry-After of a node that stops; another node takes the request at once
 _STOP_MARGIN_S = 1.0  # before the kill
 _SWEEP_S = 1.0
 _LEASE_S = 4.0
@@ -58,6 +62,9 @@
         self._settings = settings
         self._log = structlog.get_logger("node")
         self._stopping = False
+        self._refusing = False
+        self._front_scope = trio.CancelScope()
+        self._dialect = dialect
         self._connections: set[CallerConnection] = set()
         self.view = View()
         self.metrics = Metrics()
@@ -105,7 +112,7 @@
             nursery.start_soon(self._peers.run)
             nursery.start_soon(self._sweep)
             nursery.start_soon(self._lease.run, self._keeper.run)
-            nursery.start_soon(self._listen, settings.front, self._forwarder.handle)
+            nursery.start_soon(self._listen_front, nursery)
             self._log.info("started", node=settings.name, front=str(settings.front))
             await self._wait_for_signal()
             nursery.cancel_scope.cancel()
@@ -128,32 +135,52 @@
         self._log.info("stopping", connections=len(self._connections))
         for connection in list(self._connections):
             connection.close_when_idle()
-        while trio.current_time() < end:
-            accepted = trio.current_time() < start + _STOP_ACCEPT_S
-            if not self._connections and not accepted:
-                break
+        await trio.sleep_until(start + _STOP_ACCEPT_S)
+        self._refusing = True
+        self._front_scope.cancel()
+        while self._connections and trio.current_time() < end:
             await trio.sleep(0.05)
         self._log.info("drained", left=len(self._connections))
 
     async def _listen(self, address, handle) -> None:
-        listeners = await trio.open_tcp_listeners(address.port, host=address.host, backlog=_BACKLOG)
+        """Serve readiness or metrics."""
+        listeners = await self._open(address)
 
         async def serve(stream):
-            stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS)
-            connection = CallerConnection(stream, handle, self._limits)
-            front = handle == self._forwarder.handle
-            if front:
-                self._connections.add(connection)
-                if self._stopping:
-                    connection.close_after_next()
-            try:
-                await connection.run()
-            finally:
-                self._connections.discard(connection)
+            await CallerConnection(stream, handle, self._limits).run()
 
         await trio.serve_listeners(serve, listeners)
 
+    async def _listen_front(self, nursery) -> None:
+        """Serve callers; the connections outlive the listener when the node stops."""
+        listeners = await self._open(self._settings.front)
+        with self._front_scope:
+            await trio.serve_listeners(self._serve_caller, listeners, handler_nursery=nursery)
+
+    async def _open(self, address) -> list:
+        return await trio.open_tcp_listeners(address.port, host=address.host, backlog=_BACKLOG)
+
+    async def _serve_caller(self, stream) -> None:
+        stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS)
+        connection = CallerConnection(stream, self._handle, self._limits)
+        self._connections.add(connection)
+        if self._stopping:
+            connection.close_after_next()
+        try:
+            await connection.run()
+        finally:
+            self._connections.discard(connection)
+
+    async def _handle(self, exchange) -> None:
+        if not self._refusing:
+            await self._forwarder.handle(exchange)
+            return
+        request_id = exchange.headers.get(b"x-request-id", b"")
+        header = self._dialect.build_rejection(request_id, _ELSEWHERE_S)
+        await exchange.respond(DRAINING.status, header, b"")
+        self._log.info("request refused while stopping", request=request_id.decode("latin-1"))
+
     async def _answer_ready(self, exchange) -> None:
         await exchange.respond(200 if self._is_ready() else 503, [], b"")
 
--- a/basilwinch/forward/forwarder.py
+++ b/basilwinch/forward/forwarder.py
@@ -20,8 +20,8 @@
 __all__ = ["Forwarder"]
 
 # Part of the time in which a withdrawn key must be refused: with an older view, a key can't
-# be relied on. The rest covers the way from the store and a request under way.
-_STALE_PART = 0.75
+# be relied on. The rest covers a request's way from its caller.
+_STALE_PART = 0.94
 # For a node without a sound view: callers return on a new connection, so another node takes them,
 # and a wait would only make them late.
 _ELSEWHERE_S = 0.02
--- a/basilwinch/platform/store.py
+++ b/basilwinch/platform/store.py
@@ -26,6 +26,7 @@
 _WATCH_SLACK_S = 0.6  # beyond the time that a watch asked for; covers an answer 100 times as slow
 _CONNECT_TIMEOUT_S = 0.5
 _KEEP_S = 30.0
+_NO_KEY = "~"  # no key begins with it
 _MOST_IDLE = 4
 _BODY_BYTES = 16 << 20
 _LONGEST_WATCH_S = 30.0
@@ -69,6 +70,12 @@
         # "as-of" is the revision of the whole store, not of an item.
         return Page(items, bool(fields["more-pages"])), fields["as-of"]
 
+    async def read_revision(self) -> int:
+        """Return the store's revision; costs one call and names no key."""
+        query = {"prefix": _NO_KEY}
+        _, fields = await self._call("GET", "/-/kv-range", query)
+        return fields["as-of"]
+
     async def transact(self, compares, puts, deletes=()) -> Transaction:
         """Apply all changes if all conditions hold, else none."""
         body = {
--- a/basilwinch/platform/tests/test_path.py
+++ b/basilwinch/platform/tests/test_path.py
@@ -2,8 +2,12 @@
 
 import json
 
+import pytest
 import trio
 
+from basilwinch.exception import ServerError
+from basilwinch.wire import connect
+
 
 def _runs(site, service):
     return [r for s in site.platform.servers if s.service == service for r in s.runs]
@@ -203,3 +207,27 @@
         assert (await site.call(b"GET", b"/safe/a", b"r1"))[0] == 200
 
     run_with(test)
+
+
+def test_request_long_after_the_request_to_stop_is_not_taken(run_with, monkeypatch):
+    """A stream that was taken 4.5 s after SIGTERM was cut at the end of the grace time."""
+    monkeypatch.setattr("basilwinch.entry.node._STOP_ACCEPT_S", 0.3)
+
+    async def test(site):
+        kept = await connect("127.0.0.1", site.settings.front.port, 1.0)
+        site.nursery.start_soon(site.node._drain)
+        await trio.sleep(0.1)
+        assert (await site.call(b"GET", b"/safe/a", b"r1"))[0] == 200
+        assert await site.ready() == 503
+        late = await connect("127.0.0.1", site.settings.front.port, 1.0)
+        await trio.sleep(0.4)
+        header = [(b"Host", b"h.example"), (b"X-Request-Id", b"r2"), (b"X-Credential", b"key-1")]
+        await late.send(b"GET", b"/safe/a", header, b"")
+        response = await late.receive_head()
+        assert response.status_code == 503
+        assert b"r2" not in _runs(site, "plain")
+        with pytest.raises(ServerError):
+            await connect("127.0.0.1", site.settings.front.port, 1.0)
+        kept.close()
+
+    run_with(test)
--- a/basilwinch/view/follower.py
+++ b/basilwinch/view/follower.py
@@ -10,9 +10,11 @@
 
 _PAUSE_S = 0.2  # first pause after a failed call
 _LONGEST_PAUSE_S = 1.0  # half of the time in which a new configuration must be in force
-# A waiting call shows no silent connection, so it ends after a share of the time in which a
-# withdrawn key must be refused.
-_WAIT_S = 1.2
+_WAIT_S = 10.0  # of a watch; an answer comes at once when there are changes
+# Between questions for the store's revision. Together with a slow answer it leaves most of the time
+# until keys are refused for an outage of the store.
+_CHECK_S = 1.3
+_CATCH_UP_S = 0.4  # time for the watch to bring the changes that a check has shown
 _BATCH_S = 0.15  # pause after changes, so that a series of them takes few calls
 _RETURN_S = 2.0  # time in which servers that lapsed during an outage are back
 
@@ -45,17 +47,32 @@
 
 
 class Follower:
-    """Reads the view once, then follows its changes.
+    """Reads the view once, follows its changes, and checks that none is missing.
+
+    A watch that says nothing proves nothing: its connection may be silent for good, or the store
+    may have dropped events. So the store's revision is asked for from time to time. If the watch
+    has not brought the changes up to it soon after, everything is read anew.
 
     A server that vanishes while the store was away gets ``_RETURN_S`` to come back.
 
     :param source: :class:`ViewSource`
     :param view: :class:`View` to keep up to date
     :param rng: random numbers for pauses
-    :param clock: function that returns the time in seconds
+    :param clock: function that returns the time in seconds, suspension included
     """
 
-    __slots__ = ("_source", "_view", "_rng", "_clock", "_log", "_lost_at", "_missing", "on_key")
+    __slots__ = (
+        "_source",
+        "_view",
+        "_rng",
+        "_clock",
+        "_log",
+        "_lost_at",
+        "_missing",
+        "_revision",
+        "_watch_scope",
+        "on_key",
+    )
 
     def __init__(self, source: ViewSource, view: View, rng, clock):
         self._source = source
@@ -65,33 +82,64 @@
         self._log = structlog.get_logger("follower")
         self._lost_at: float | None = None
         self._missing: dict[str, float] = {}
+        self._revision: int | None = None
+        self._watch_scope = trio.CancelScope()
         self.on_key = None
 
     async def run(self) -> None:
         """Follow forever."""
-        revision = None
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._follow)
+            nursery.start_soon(self._check)
+
+    async def _follow(self) -> None:
         pause = _PAUSE_S
         while True:
             try:
-                if revision is None:
-                    revision = await self._read_all()
-                revision, changed = await self._read_changes(revision)
-                self._regained()
-                pause = _PAUSE_S
-                if changed:
-                    await trio.sleep(_BATCH_S)
+                if self._revision is None:
+                    await self._read_all()
+                    self._regained()
+                with trio.CancelScope() as self._watch_scope:
+                    changed = await self._read_changes(self._revision)
+                    self._regained()
+                    pause = _PAUSE_S
+                    await trio.sleep(_BATCH_S if changed else 0)
             except PlatformError as error:
                 if error.failure.kind is HISTORY_COMPACTED:
-                    self._log.warning("history lost, reading anew", after=revision)
-                    revision = None
+                    self._log.warning("history lost, reading anew", after=self._revision)
+                    self._revision = None
                     continue
                 self._lost(error)
                 await trio.sleep(pause * self._rng.uniform(0.5, 1.0))
                 pause = min(_LONGEST_PAUSE_S, pause * 2)
-            self._drop_missing()
 
-    async def _read_all(self) -> int:
-        """Read every key; return the revision from which changes are to be read."""
+    async def _check(self) -> None:
+        """Ask for the store's revision, and read anew if changes are missing."""
+        while True:
+            await trio.sleep(_CHECK_S * self._rng.uniform(0.8, 1.0))
+            self._drop_missing()
+            if self._revision is None:
+                continue
+            asked_at = self._clock()
+            try:
+                revision = await self._source.store.read_revision()
+            except PlatformError as error:
+                self._lost(error)
+                continue
+            if not self._holds(revision):
+                await trio.sleep(_CATCH_UP_S)
+            if self._holds(revision):
+                self._view.confirm(asked_at)
+            else:
+                self._log.warning("changes missing, reading anew", held=self._revision, at=revision)
+                self._revision = None
+                self._watch_scope.cancel()
+
+    def _holds(self, revision: int) -> bool:
+        return self._revision is not None and self._revision >= revision
+
+    async def _read_all(self) -> None:
+        """Read every key, and set the revision from which changes are to be read."""
         asked_at = self._clock()
         seen = set()
         start, after = None, ""
@@ -105,8 +153,20 @@
                 break
             after = page.items[-1].key
         self._remove_unseen(seen, start)
+        self._revision = start
         self._view.confirm(asked_at)
-        return start
+
+    async def _read_changes(self, after: int) -> bool:
+        """Apply the next changes; return whether there were any.
+
+        Only events move the revision on: an answer without them may leave changes out.
+        """
+        changes = await self._source.store.poll("", after, _WAIT_S)
+        for event in changes.events:
+            self._apply(event.key, event.value, event.mod_revision)
+            if self._revision is not None:
+                self._revision = max(self._revision, event.mod_revision)
+        return bool(changes.events)
 
     def _remove_unseen(self, seen: set, revision: int) -> None:
         prefix = self._source.servers_prefix
@@ -114,14 +174,6 @@
             if prefix + server_id not in seen:
                 self._remove(server_id, revision, "not listed")
 
-    async def _read_changes(self, revision: int) -> tuple[int, bool]:
-        asked_at = self._clock()
-        changes = await self._source.store.poll("", revision, _WAIT_S)
-        for event in changes.events:
-            self._apply(event.key, event.value, event.mod_revision)
-        self._view.confirm(asked_at)
-        return max(revision, changes.revision), bool(changes.events)
-
     def _apply(self, key: str, value: bytes | None, revision: int) -> None:
         source = self._source
         if key == source.configuration_key:
--- a/basilwinch/view/state.py
+++ b/basilwinch/view/state.py
@@ -18,7 +18,6 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
-
 class View:
     """The newest configuration and the registered servers.
 
