Use a server for its whole range or not at all, so that memory fills up

Cause: a server short of memory for its range was still taken for parts of it; the path came back to it, named it twice and was refused, though other chains were free.

--- a/basilwinch/chains/path.py
+++ b/basilwinch/chains/path.py
@@ -11,7 +11,7 @@
 # usual size takes it for about 25 ms, which is spread over the passes of a response.
 _CROSSING_MS = 4.0
 # Time that a further member costs per pass: the way to it and the wait for the start of its pass.
-_MEMBER_MS = 0.5
+_MEMBER_MS = 1.0
 _MOST_MEMBERS = 32  # the servers refuse longer paths
 
 
@@ -51,12 +51,14 @@
         Dynamic programming over the boundaries of the held ranges, from the last layer back. Time
         O(s * b) for s servers and b boundaries.
         """
-        stages = list(self._stages(servers, engine, avoid))
+        # A server without room for its whole range takes no part of it either: a path that left
+        # such a server and came back would name it twice.
+        stages = [s for s in self._stages(servers, engine, avoid) if s.room >= tokens * s.held]
         cuts = {s.entry.layers[0] for s in stages} | {s.entry.layers[1] for s in stages}
         cuts = sorted(cut for cut in cuts if 0 <= cut <= engine.layers)
         if not cuts or cuts[0] != 0 or cuts[-1] != engine.layers:
             return None
-        best = self._solve(stages, cuts, engine, tokens)
+        best = self._solve(stages, cuts, engine)
         return self._trace(best, engine, prompt)
 
     def _stages(self, servers, engine, avoid):
@@ -68,7 +70,7 @@
                 continue
             yield _Stage(entry, kind, engine, self._load)
 
-    def _solve(self, stages, cuts, engine, tokens):
+    def _solve(self, stages, cuts, engine):
         """Return by boundary and zone: cost of the rest, stage and next boundary."""
         zones = {stage.entry.zone for stage in stages}
         best = {engine.layers: dict.fromkeys(zones, (0.0, None, None))}
@@ -79,9 +81,7 @@
                 if first <= cut < end:
                     starting[cut].append(stage)
         for cut in reversed(cuts[:-1]):
-            options = [
-                o for stage in starting[cut] for o in _options(stage, cut, cuts, best, tokens)
-            ]
+            options = [o for stage in starting[cut] for o in _options(stage, cut, cuts, best)]
             if not options:
                 continue
             best[cut] = {
@@ -115,11 +115,11 @@
         return PathChoice(members, pass_ms, read_ms)
 
 
-def _options(stage, cut, cuts, best, tokens):
+def _options(stage, cut, cuts, best):
     """Yield cost, stage and end for each way to go on from a boundary with a stage."""
     last = stage.entry.layers[1]
     for end in cuts:
-        if cut < end <= last and end in best and stage.room >= tokens * (end - cut):
+        if cut < end <= last and end in best:
             rest = best[end][stage.entry.zone][0]
             yield (stage.weighted_ms * (end - cut) + _MEMBER_MS + rest, stage, end)
 
@@ -127,7 +127,7 @@
 class _Stage:
     """A server as the search sees it."""
 
-    __slots__ = ("entry", "layer_ms", "weighted_ms", "read_layer_ms", "room")
+    __slots__ = ("entry", "held", "layer_ms", "weighted_ms", "read_layer_ms", "room")
 
     def __init__(self, entry, kind, engine, load):
         share = load.at(entry.id)
@@ -137,6 +137,7 @@
         context_ms = engine.context_ms * engine.usual_tokens / 1000
         sequence_ms = engine.sequence_ms + context_ms
         self.entry = entry
+        self.held = held
         self.layer_ms = scale * (engine.step_ms + sequence_ms * (share.requests + 1))
         # A further request also slows down those that run there.
         self.weighted_ms = self.layer_ms + scale * sequence_ms * share.requests
--- /dev/null
+++ b/basilwinch/chains/tests/conftest.py
@@ -0,0 +1,31 @@
+"""Fixtures: a site of the users' sizes."""
+
+import pytest
+
+from basilwinch.view import CardKind, Engine, ServerEntry
+
+CARDS = {
+    "a100": CardKind("a100", 72000.0, 2.4, 3.2),
+    "l40s": CardKind("l40s", 43200.0, 5.6, 2.7),
+    "l4": CardKind("l4", 21600.0, 16.0, 8.2),
+}
+COUNTS = {"z0": (1, 3, 8), "z1": (1, 6, 5), "z2": (2, 2, 5)}
+
+
+@pytest.fixture
+def engine():
+    return Engine(80, 1750.0, 22950.0, CARDS, 1.02, 0.01428, 0.01912, 105.0, 3, 974, 14.0, 96)
+
+
+@pytest.fixture
+def servers():
+    entries = []
+    for zone, counts in COUNTS.items():
+        for kind, count in zip(CARDS, counts, strict=True):
+            for number in range(count):
+                name = f"{zone}-{kind}-{number}"
+                port = 8000 + len(entries)
+                entries.append(
+                    ServerEntry(name, "llm", "10.0.0.1", port, zone, 96, False, kind, None, 1, 0)
+                )
+    return entries
