--- a/basilwinch/lease/holder.py
+++ b/basilwinch/lease/holder.py
@@ -14,9 +14,9 @@
 from basilwinch.record import Record
 from basilwinch.store import Compare, KeyValue, KeyValueStore
 
-__all__ = ["HeldLease", "LeaseConfig", "LeaseHolder"]
+__all__ = ["LEASE_ROOT", "HeldLease", "LeaseConfig", "LeaseHolder"]
 
-_ROOT = "basilwinch/lease/"
+LEASE_ROOT = "basilwinch/lease/"
 
 
 class LeaseConfig(Record):
@@ -96,8 +96,8 @@
         self._config = config
         self._store = store
         self._rng = rng
-        self._key = f"{_ROOT}{config.name}/holder"
-        self._base_key = f"{_ROOT}{config.name}/base"
+        self._key = f"{LEASE_ROOT}{config.name}/holder"
+        self._base_key = f"{LEASE_ROOT}{config.name}/base"
         self._floor = 0
         self._held: HeldLease | None = None
         self._log = structlog.get_logger("lease").bind(lease=config.name, owner=config.owner)
--- /dev/null
+++ b/basilwinch/platform/status.py
@@ -0,0 +1,102 @@
+"""Command that shows an operator what is in force, read from the store."""
+
+import argparse
+import json
+import sys
+
+import trio
+
+from basilwinch.chains.keeper import LAYOUT_PREFIX
+from basilwinch.exception import BasilwinchError
+from basilwinch.lease.holder import LEASE_ROOT
+from basilwinch.peers.exchange import NODES_PREFIX
+from basilwinch.platform.documents import (
+    CONFIGURATION_KEY,
+    SERVERS_PREFIX,
+    decode_configuration,
+    decode_server,
+)
+from basilwinch.platform.store import MetadataStore
+
+__all__ = ["collect_status", "main"]
+
+_UNAVAILABLE = 1  # exit status
+
+
+async def collect_status(store) -> dict:
+    """Return what the store holds, in plain values.
+
+    :raises PlatformError: if the store does not answer
+    """
+    status = {"configuration": None, "servers": [], "nodes": [], "layouts": {}, "leases": {}}
+    after = ""
+    while True:
+        page, revision = await store.scan_at("", after)
+        for item in page.items:
+            _add(status, item)
+        if not page.more:
+            return status | {"revision": revision}
+        after = page.items[-1].key
+
+
+def _add(status: dict, item) -> None:
+    if item.key == CONFIGURATION_KEY:
+        configuration = decode_configuration(item.value)
+        if configuration is not None:
+            services = sorted(configuration.services)
+            status["configuration"] = {
+                "version": configuration.version,
+                "routes": len(configuration.routes),
+                "services": services,
+            }
+    elif item.key.startswith(SERVERS_PREFIX):
+        entry = decode_server(item.key, item.value)
+        if entry is not None:
+            status["servers"].append(entry.to_dict())
+    elif item.key.startswith(NODES_PREFIX):
+        status["nodes"].append(item.key.removeprefix(NODES_PREFIX))
+    elif item.key.startswith(LAYOUT_PREFIX):
+        status["layouts"][item.key.removeprefix(LAYOUT_PREFIX)] = json.loads(item.value)
+    elif item.key.startswith(LEASE_ROOT) and item.key.endswith("/holder"):
+        task = item.key.removeprefix(LEASE_ROOT).removesuffix("/holder")
+        status["leases"][task] = json.loads(item.value)["owner"]
+
+
+def _render(status: dict) -> str:
+    lines = [f"revision {status['revision']}"]
+    configuration = status["configuration"]
+    if configuration is None:
+        lines.append("no configuration")
+    else:
+        lines.append("configuration {version}, {routes} routes".format(**configuration))
+    lines += [f"duty {task}: {owner}" for task, owner in sorted(status["leases"].items())]
+    lines.append(f"nodes: {', '.join(sorted(status['nodes'])) or 'none'}")
+    for server in sorted(status["servers"], key=lambda s: (s["service"], s["id"])):
+        layers = server["layers"]
+        held = f"{server['kind']} layers {layers[0]}-{layers[1]}" if layers else server["kind"]
+        state = "leaving" if server["leaving"] else "ready"
+        words = [server["id"], server["service"], server["zone"], state, held]
+        lines.append("  ".join(word for word in words if word))
+    return "\n".join(lines)
+
+
+def main(arguments=None) -> int:
+    """Print the status; return the exit status."""
+    parser = argparse.ArgumentParser(description="Show what is in force on the platform.")
+    parser.add_argument("store", help="IP:PORT of the platform's store")
+    parser.add_argument("--json", action="store_true", help="print one JSON document")
+    options = parser.parse_args(arguments)
+    host, _, port = options.store.rpartition(":")
+    if not host or not port.isdigit():
+        parser.error(f"expected IP:PORT, got {options.store!r}")
+    try:
+        status = trio.run(collect_status, MetadataStore(host, int(port)))
+    except BasilwinchError as error:
+        print(error, file=sys.stderr)
+        return _UNAVAILABLE
+    print(json.dumps(status) if options.json else _render(status))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/basilwinch/platform/tests/test_settings.py
@@ -0,0 +1,72 @@
+"""Settings file of the platform."""
+
+import pytest
+
+from basilwinch.exception import ConfigurationError
+from basilwinch.platform import read_settings
+from basilwinch.platform.program import main
+
+GOOD = """
+node-name = "edge-1"
+ip = "10.1.0.40"
+zone = "z0"
+internal-ports = [7340, 7355]
+unknown = 1
+[listen]
+front = "10.1.0.40:8227"
+ready = "10.1.0.40:8220"
+[limits]
+memory-mb = 300
+max-fds = 4200
+[bounds]
+drain-ms = 2000
+grace-s = 8
+revoke-ms = 5000
+retry-ratio = 0.2
+retry-window-s = 10
+retry-slack = 196
+[platform]
+address = "10.200.1.7:8223"
+"""
+
+
+def test_settings_are_read_and_unknown_ones_ignored(tmp_path):
+    path = tmp_path / "node.toml"
+    path.write_text(GOOD)
+    settings = read_settings(str(path))
+    assert str(settings.store) == "10.200.1.7:8223"
+    assert settings.bounds.revoke_s == 5.0
+    assert settings.bounds.revoke_closed
+    assert settings.peer_port == 7340
+
+
+def test_all_faults_are_named_at_once(tmp_path):
+    path = tmp_path / "node.toml"
+    path.write_text(GOOD.replace('zone = "z0"', "zone = 7").replace('"10.1.0.40:8220"', '"here"'))
+    with pytest.raises(ConfigurationError) as info:
+        read_settings(str(path))
+    assert "zone" in info.value.failure.reason
+    assert "listen.ready" in info.value.failure.reason
+
+
+@pytest.mark.parametrize("text", ["", "not toml ="])
+def test_program_exits_with_2_on_bad_settings(tmp_path, text, monkeypatch):
+    path = tmp_path / "node.toml"
+    path.write_text(text)
+    lines = []
+    monkeypatch.setattr(
+        "basilwinch.platform.program.BoundedOutput", lambda _: _Lines(lines), raising=True
+    )
+    assert main(["--settings", str(path)]) == 2
+    assert "settings invalid" in "".join(lines)
+
+
+class _Lines:
+    def __init__(self, lines):
+        self._lines = lines
+
+    def write(self, text):
+        self._lines.append(text)
+
+    def flush(self):
+        pass
--- /dev/null
+++ b/basilwinch/platform/tests/test_status.py
@@ -0,0 +1,36 @@
+"""Command for operators."""
+
+import trio
+
+from basilwinch.platform import MetadataStore
+from basilwinch.platform.status import collect_status, main
+
+
+def test_status_shows_configuration_servers_layout_and_duty(run_with):
+    async def test(site):
+        await site.until(lambda: "basilwinch/layout/llm" in site.platform.items)
+        status = await collect_status(MetadataStore("127.0.0.1", site.platform.port))
+        assert status["configuration"] == {
+            "version": 3,
+            "routes": 3,
+            "services": ["llm", "plain"],
+        }
+        assert len(status["servers"]) == 6
+        assert status["leases"] == {"layout": "n1"}
+        assert len(status["layouts"]["llm"]) == 2
+
+    run_with(test)
+
+
+def test_status_says_so_when_the_store_does_not_answer(capsys):
+    assert main(["127.0.0.1:1"]) == 1
+    assert "platform_unavailable" in capsys.readouterr().err
+
+
+def test_status_runs_on_its_own_loop(run_with, capsys):
+    async def test(site):
+        args = [f"127.0.0.1:{site.platform.port}"]
+        assert await trio.to_thread.run_sync(main, args) == 0
+        assert "configuration 3, 3 routes" in capsys.readouterr().out
+
+    run_with(test)
