--- a/basilwinch/entry/node.py
+++ b/basilwinch/entry/node.py
@@ -15,6 +15,7 @@
 from basilwinch.forward.budget import RetryBudget
 from basilwinch.forward.forwarder import Forwarder
 from basilwinch.forward.plain import PlainForwarder
+from basilwinch.forward.reports import ServerReports
 from basilwinch.forward.selection import ServerSelection
 from basilwinch.forward.services import Services
 from basilwinch.forward.stream import StreamForwarder
@@ -83,7 +84,10 @@
         )
         finder = PathFinder(self.load)
         self._selection = selection
-        services = Services(self.view, self._pool, dialect, selection, budget, self.load, finder)
+        self._reports = ServerReports(self._pool, dialect, clock)
+        services = Services(
+            self.view, self._pool, dialect, selection, budget, self.load, finder, self._reports
+        )
         self._forwarder = Forwarder(
             services,
             PlainForwarder(services),
@@ -212,3 +216,4 @@
             self._pool.sweep()
             self.load.forget(self.view.servers)
             self._selection.forget(self.view.servers)
+            self._reports.forget(self.view.servers)
--- a/basilwinch/forward/forwarder.py
+++ b/basilwinch/forward/forwarder.py
@@ -75,7 +75,7 @@
         configuration = self._services.view.configuration
         if configuration is None:
             return NO_CONFIGURATION.because("no configuration yet", _ELSEWHERE_S)
-        host = exchange.headers.get(b"host", b"").decode("latin-1").partition(":")[0]
+        host = exchange.headers.get(b"host", b"").decode("latin-1").lower().partition(":")[0]
         path = exchange.target.partition(b"?")[0].decode("latin-1")
         route = configuration.find_route(host, path)
         if route is None:
--- a/basilwinch/forward/services.py
+++ b/basilwinch/forward/services.py
@@ -17,11 +17,22 @@
     :param budget: :class:`~basilwinch.forward.budget.RetryBudget`
     :param load: :class:`~basilwinch.chains.load.FleetLoad`
     :param finder: :class:`~basilwinch.chains.path.PathFinder`
+    :param reports: :class:`~basilwinch.forward.reports.ServerReports`
     """
 
-    __slots__ = ("view", "pool", "dialect", "selection", "budget", "load", "finder", "freed")
+    __slots__ = (
+        "view",
+        "pool",
+        "dialect",
+        "selection",
+        "budget",
+        "load",
+        "finder",
+        "reports",
+        "freed",
+    )
 
-    def __init__(self, view, pool, dialect, selection, budget, load, finder):
+    def __init__(self, view, pool, dialect, selection, budget, load, finder, reports):
         self.view = view
         self.pool = pool
         self.dialect = dialect
@@ -29,6 +40,7 @@
         self.budget = budget
         self.load = load
         self.finder = finder
+        self.reports = reports
         self.freed = trio.Event()
 
     def choose(self, context: Context, tried):
--- a/basilwinch/forward/stream.py
+++ b/basilwinch/forward/stream.py
@@ -1,7 +1,5 @@
 """Forwarding of streams over chains of servers, with resumption."""
 
-import json
-
 import structlog
 import trio
 
@@ -18,20 +16,13 @@
 from basilwinch.forward.context import Context
 from basilwinch.forward.events import EventSplitter, read_event_id
 from basilwinch.forward.outcome import Answered, Broken, NotRun
+from basilwinch.forward.silence import Silence
 
 __all__ = ["StreamForwarder"]
 
 _WAIT_PART = 0.5  # of the objective: longest wait for room
 _HINT_PART = 1.2  # of the caller's estimate: tokens that are reserved
 _USUAL_OUTPUT = 200  # tokens that are reserved if the caller says nothing
-# A chain that gives no event for this long is asked whether it stalls.
-_LEAST_SILENCE_S = 0.12
-_SILENCE_PASSES = 3.0  # or for so many times its estimated pass
-_READ_PASSES = 3.0
-_REPORT_S = 0.15  # wait for a head's report; it answers without a slot
-# A chain that is silent for this part of the time after which callers leave is given up.
-_GIVE_UP_PART = 0.5
-_CALLER_PATIENCE_S = 2.0  # callers leave after a gap of at least this
 _BODY_BYTES = 1 << 20
 _ANSWER_MARGIN_S = 0.03
 _ATTEMPTS = 4  # paths tried for a response that hasn't begun; each counts against the budget
@@ -97,7 +88,7 @@
             if isinstance(outcome, Broken):
                 self._runs += 1
                 failure = OUTCOME_UNKNOWN.because(outcome.reason)
-                if not context.route.resumable:
+                if not context.route.resumable or self._runs >= context.route.max_attempts:
                     break
             elif failure is None:
                 failure = NO_CHAIN.because(outcome.reason, self._retry_after())
@@ -193,7 +184,7 @@
                 None if self._last_id is None else b"%d" % self._last_id,
             )
             await connection.send(exchange.method, exchange.target, header, exchange.body)
-            silence = _Silence(choice, self._services, context, head)
+            silence = Silence(choice, self._services, context, head)
             response = await silence.watch(connection.receive_head)
             if isinstance(response, Broken):
                 self._blame(silence, choice)
@@ -293,52 +284,3 @@
             if entry is not None and f"{entry.host}:{entry.port}" == address:
                 self._services.load.suspect(entry.id, "named as faulty")
                 self._avoid.add(entry.id)
-
-
-class _Silence:
-    """Waits for the next bytes of a chain, and finds out whether it stalls."""
-
-    __slots__ = ("_choice", "_services", "_context", "_head", "reading", "culprit")
-
-    def __init__(self, choice, services, context, head):
-        self._choice = choice
-        self._services = services
-        self._context = context
-        self._head = head
-        self.reading = True
-        self.culprit: str | None = None
-
-    async def watch(self, receive):
-        """Return what ``receive`` returns, or ``Broken`` if the chain stalls."""
-        start = trio.current_time()
-        pass_s = self._choice.pass_ms / 1000
-        wait_s = max(_LEAST_SILENCE_S, _SILENCE_PASSES * pass_s)
-        if self.reading:
-            wait_s += _READ_PASSES * self._choice.read_ms / 1000
-        while True:
-            with trio.move_on_after(wait_s):
-                return await receive()
-            if await self._stalls():
-                return Broken(f"chain stalls at {self.culprit}")
-            if trio.current_time() - start > _GIVE_UP_PART * _CALLER_PATIENCE_S:
-                return Broken("chain silent")
-            wait_s = _LEAST_SILENCE_S
-
-    async def _stalls(self) -> bool:
-        """Ask the head which member its request waits for."""
-        services = self._services
-        address = f"{self._head.host}:{self._head.port}"
-        try:
-            with trio.fail_after(_REPORT_S):
-                connection = await services.pool.acquire(self._head.address)
-                try:
-                    await connection.send(*services.dialect.report_query())
-                    await connection.receive_head()
-                    report = json.loads(await connection.receive_body(_BODY_BYTES))
-                finally:
-                    connection.close()
-        except (ServerError, trio.TooSlowError):
-            self.culprit = address
-            return True
-        self.culprit = services.dialect.stalled_at(report, self._context.info.id)
-        return self.culprit is not None
