--- /dev/null
+++ b/basilwinch/view/tests/test_follower.py
@@ -0,0 +1,171 @@
+"""Follower of the store."""
+
+import random
+
+import pytest
+import trio
+import trio.testing
+
+from basilwinch.exception import HISTORY_COMPACTED, PLATFORM_UNAVAILABLE, PlatformError
+from basilwinch.store import KeyValue, Page, WatchEvent
+from basilwinch.view import Configuration, ServerEntry, View
+from basilwinch.view.follower import Follower, ViewSource
+
+
+class Changes:
+    """Events of a watch."""
+
+    def __init__(self, events):
+        self.events = events
+
+
+class Store:
+    """A store in memory whose watch can go silent."""
+
+    def __init__(self):
+        self.items: dict[str, KeyValue] = {}
+        self.events: list[WatchEvent] = []
+        self.revision = 1
+        self.silent = False
+        self.down = False
+        self.compacted = 0
+        self.changed = trio.Event()
+
+    def put(self, key, value=b"1"):
+        self.revision += 1
+        self.items[key] = KeyValue(key, value, self.revision)
+        self._append(WatchEvent(key, value, self.revision))
+
+    def delete(self, key):
+        self.revision += 1
+        del self.items[key]
+        self._append(WatchEvent(key, None, self.revision))
+
+    def _append(self, event):
+        self.events.append(event)
+        self.changed.set()
+        self.changed = trio.Event()
+
+    def _answer(self):
+        if self.down:
+            raise PlatformError(PLATFORM_UNAVAILABLE.because("down"))
+
+    async def scan_at(self, prefix, after=""):
+        await trio.sleep(0.004)
+        self._answer()
+        return Page(list(self.items.values()), False), self.revision
+
+    async def read_revision(self):
+        await trio.sleep(0.004)
+        self._answer()
+        return self.revision
+
+    async def poll(self, prefix, after, wait_s):
+        await trio.sleep(0.004)
+        self._answer()
+        if after < self.compacted:
+            raise PlatformError(HISTORY_COMPACTED.because("gone"))
+        with trio.move_on_after(wait_s):
+            while self.silent or not [e for e in self.events if e.mod_revision > after]:
+                await self.changed.wait()
+            return Changes([e for e in self.events if e.mod_revision > after])
+        return Changes([])
+
+
+def _decode_server(key, value):
+    name = key.removeprefix("servers/")
+    return ServerEntry(name, "plain", "10.0.0.1", 1, "z0", 8, False, "", None, 1, 0)
+
+
+def _decode_configuration(value):
+    return Configuration(int(value), [], {}, None, None)
+
+
+@pytest.fixture
+def run_follower():
+    """Return a function that runs an async test with a follower on a virtual clock."""
+
+    def run(test):
+        async def main():
+            store, view = Store(), View()
+            source = ViewSource(
+                store, "op/config", "servers/", _decode_configuration, _decode_server
+            )
+            follower = Follower(source, view, random.Random(1), trio.current_time)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(follower.run)
+                await trio.sleep(0.1)
+                await test(store, view)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    return run
+
+
+def test_watch_that_goes_silent_for_good_is_found(run_follower):
+    """The connection of a watch can go silent without a reset; new calls work."""
+
+    async def test(store, view):
+        store.silent = True
+        store.put("servers/s1")
+        await trio.sleep(2.0)
+        assert "s1" in view.servers
+
+    run_follower(test)
+
+
+def test_server_that_left_in_dropped_history_is_found(run_follower):
+    async def test(store, view):
+        store.put("servers/s1")
+        await trio.sleep(0.5)
+        store.silent = True
+        store.delete("servers/s1")
+        store.compacted = store.revision
+        await trio.sleep(2.0)
+        assert "s1" not in view.servers
+
+    run_follower(test)
+
+
+def test_age_stays_low_on_a_calm_day_and_grows_without_the_store(run_follower):
+    async def test(store, view):
+        for _ in range(40):
+            await trio.sleep(0.25)
+            assert view.age(trio.current_time()) < 1.5
+        store.down = True
+        await trio.sleep(4.0)
+        assert view.age(trio.current_time()) > 3.9
+        store.down = False
+        await trio.sleep(2.5)
+        assert view.age(trio.current_time()) < 1.5
+
+    run_follower(test)
+
+
+def test_view_is_not_confirmed_by_a_silent_watch(run_follower):
+    """A key withdrawn while the watch hears nothing must not pass for confirmed."""
+
+    async def test(store, view):
+        store.put("op/config", b"1")
+        await trio.sleep(0.5)
+        store.silent = True
+        changed_at = trio.current_time()
+        store.put("op/config", b"2")
+        while view.configuration.version == 1:
+            assert view.confirmed_at <= changed_at
+            await trio.sleep(0.05)
+        assert trio.current_time() - changed_at < 2.0
+
+    run_follower(test)
+
+
+def test_version_never_goes_back(run_follower):
+    async def test(store, view):
+        store.put("op/config", b"7")
+        await trio.sleep(0.5)
+        store.put("op/config", b"5")
+        await trio.sleep(0.5)
+        assert view.configuration.version == 7
+
+    run_follower(test)
--- /dev/null
+++ b/basilwinch/wire/tests/test_server.py
@@ -0,0 +1,159 @@
+"""Connections of callers, with whatever bytes they send."""
+
+import pytest
+import trio
+import trio.testing
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from basilwinch.view import CallerLimits
+from basilwinch.wire import CallerConnection
+
+LIMITS = CallerLimits(header_bytes=2048, body_bytes=4096, header_s=1.0, idle_s=2.0)
+
+
+def serve(chunks, handle=None, end=True):
+    """Send chunks to a connection; return what came back and the requests that were handled."""
+    seen = []
+
+    async def answer(exchange):
+        seen.append((exchange.method, exchange.target, exchange.body))
+        await exchange.respond(200, [], b"ok")
+
+    received = bytearray()
+
+    async def main():
+        ours, theirs = trio.testing.memory_stream_pair()
+        connection = CallerConnection(theirs, handle or answer, lambda: LIMITS)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(connection.run)
+
+            async def read():
+                async for data in ours:
+                    received.extend(data)
+
+            nursery.start_soon(read)
+            try:
+                for chunk in chunks:
+                    await ours.send_all(chunk)
+                    await trio.sleep(0.01)
+                if end:
+                    await trio.sleep(0.5)
+                    await ours.send_eof()
+            except trio.BrokenResourceError:
+                return
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    return bytes(received), seen
+
+
+GET = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+
+
+def test_pipelined_requests_are_answered_in_order():
+    received, seen = serve([GET + GET.replace(b"/a", b"/b") + GET.replace(b"/a", b"/c")])
+    assert [target for _, target, _ in seen] == [b"/a", b"/b", b"/c"]
+    assert received.count(b"HTTP/1.1 200") == 3
+
+
+def test_request_in_single_bytes_is_read():
+    received, seen = serve([bytes([byte]) for byte in GET])
+    assert len(seen) == 1
+
+
+@pytest.mark.parametrize(
+    "header",
+    [
+        b"Content-Length: 5\r\nContent-Length: 6\r\n",
+        b"Content-Length: 5\r\nTransfer-Encoding: chunked, identity\r\n",
+        b"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+        b"Content-Length: -1\r\n",
+        b"Content-Length: 5, 6\r\n",
+        b"Content-Length : 5\r\n",
+        b"X-A: b\r\n folded: c\x00\r\n",
+    ],
+)
+def test_ambiguous_framing_reaches_no_handler(header):
+    """Smuggling: what another parser could read as a second request must not be passed on."""
+    hidden = b"GET /hidden HTTP/1.1\r\nHost: h\r\n\r\n"
+    received, seen = serve([b"POST /a HTTP/1.1\r\nHost: h\r\n" + header + b"\r\n" + hidden])
+    assert seen == []
+    assert received.startswith(b"HTTP/1.1 400") or received.startswith(b"HTTP/1.1 501")
+
+
+def test_length_beside_chunks_is_not_passed_on_as_two_requests():
+    text = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n"
+    received, seen = serve([text + b"0\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n"])
+    assert all(target != b"/hidden" for _, target, _ in seen)
+    assert received.startswith(b"HTTP/1.1")
+
+
+def test_oversized_header_and_body_are_refused():
+    received, seen = serve([b"GET /a HTTP/1.1\r\nHost: h\r\nX: " + b"x" * 5000])
+    assert seen == []
+    assert received.startswith(b"HTTP/1.1 431")
+    body = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5000\r\n\r\n" + b"x" * 5000
+    received, seen = serve([body])
+    assert seen == []
+    assert received.startswith(b"HTTP/1.1 413")
+
+
+def test_slow_header_and_body_get_408():
+    received, seen = serve([b"GET /a HT"], end=False)
+    assert received.startswith(b"HTTP/1.1 408")
+    received, seen = serve(
+        [b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nab"], end=False
+    )
+    assert received.startswith(b"HTTP/1.1 408")
+    assert seen == []
+
+
+def test_caller_that_goes_cancels_its_request():
+    """Servers must not go on with work that nobody waits for."""
+    ended = []
+
+    async def handle(exchange):
+        try:
+            await trio.sleep_forever()
+        finally:
+            ended.append(exchange.target)
+
+    received, _ = serve([GET], handle)
+    assert ended == [b"/a"]
+    assert received == b""
+
+
+def test_fault_of_a_handler_closes_only_its_connection():
+    async def handle(exchange):
+        raise KeyError("fault")
+
+    received, _ = serve([GET], handle)
+    assert received == b""
+
+
+PIECES = st.sampled_from(
+    [
+        GET,
+        b"POST /p HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n",
+        b"3\r\nabc\r\n",
+        b"0\r\n\r\n",
+        b"zz\r\n",
+        b"\r\n",
+        b"Content-Length: 3\r\n",
+        b"\x00\xff",
+        b"HEAD /h HTTP/1.1\r\nHost: h\r\n\r\n",
+        b"GET / HTTP/1.0\r\n\r\n",
+        b"GET / HTTP/9.9\r\n\r\n",
+        b"A" * 3000,
+    ]
+)
+
+
+@settings(max_examples=150, deadline=None)
+@given(pieces=st.lists(PIECES, max_size=8), cut=st.integers(1, 40))
+def test_any_bytes_give_typed_answers_or_a_closed_connection(pieces, cut):
+    data = b"".join(pieces)
+    chunks = [data[n : n + cut * 50] for n in range(0, len(data), cut * 50)]
+    received, seen = serve(chunks)
+    assert received == b"" or received.startswith(b"HTTP/1.1 ")
+    assert received.count(b"HTTP/1.1 200") <= len(seen)
