--- a/basilwinch/chains/__init__.py
+++ b/basilwinch/chains/__init__.py
@@ -3,5 +3,6 @@
 from basilwinch.chains.layout import Member, plan_chains
 from basilwinch.chains.load import FleetLoad
 from basilwinch.chains.path import PathFinder
+from basilwinch.chains.whole import WholeChains
 
-__all__ = ["FleetLoad", "Member", "PathFinder", "plan_chains"]
+__all__ = ["FleetLoad", "Member", "PathFinder", "WholeChains", "plan_chains"]
--- a/basilwinch/chains/load.py
+++ b/basilwinch/chains/load.py
@@ -4,7 +4,8 @@
 
 __all__ = ["FleetLoad", "Share"]
 
-_REPORT_AGE_S = 1.5  # a report of another node counts for so long; six times the interval
+_REPORT_INTERVALS = 4  # a report of another node counts for so many intervals; some get lost
+_LEAST_INTERVAL_S = 0.25
 _SUSPECT_S = 1.0  # first time for which a server that failed is avoided; doubles up to the longest
 _LONGEST_SUSPECT_S = 4.0
 
@@ -22,14 +23,27 @@
 class FleetLoad:
     """Adds up load by server, and remembers which servers are avoided after a failure.
 
+    ``interval_s`` is the time between reports of a node; it grows with the number of nodes.
+
     :param clock: function that returns the time in seconds
     """
 
-    __slots__ = ("_clock", "own", "_remote", "_total", "_total_at", "_suspects", "pace", "_log")
+    __slots__ = (
+        "_clock",
+        "own",
+        "interval_s",
+        "_remote",
+        "_total",
+        "_total_at",
+        "_suspects",
+        "pace",
+        "_log",
+    )
 
     def __init__(self, clock):
         self._clock = clock
         self.own: dict[str, Share] = {}
+        self.interval_s = _LEAST_INTERVAL_S
         self._remote: dict[str, tuple[float, dict[str, Share]]] = {}
         self._total: dict[str, Share] = {}
         self._total_at = float("-inf")
@@ -59,7 +73,7 @@
     def at(self, server_id: str) -> Share:
         """Return the load of a server over all nodes."""
         now = self._clock()
-        if now - self._total_at > _REPORT_AGE_S / 3:
+        if now - self._total_at > self.interval_s:
             self._sum_remote(now)
         own = self.own.get(server_id) or Share()
         remote = self._total.get(server_id) or Share()
@@ -69,7 +83,7 @@
         self._total_at = now
         self._total = {}
         for node, (taken_at, shares) in list(self._remote.items()):
-            if now - taken_at > _REPORT_AGE_S:
+            if now - taken_at > self.interval_s * _REPORT_INTERVALS:
                 del self._remote[node]
                 continue
             for server_id, share in shares.items():
@@ -77,12 +91,6 @@
                 total.requests += share.requests
                 total.token_layers += share.token_layers
 
-    @property
-    def reporting_nodes(self) -> int:
-        """Number of other nodes that have reported lately."""
-        now = self._clock()
-        return sum(now - taken_at <= _REPORT_AGE_S for taken_at, _ in self._remote.values())
-
     def suspect(self, server_id: str, reason: str) -> None:
         """Avoid a server for a while."""
         now = self._clock()
--- a/basilwinch/chains/path.py
+++ b/basilwinch/chains/path.py
@@ -5,7 +5,7 @@
 from basilwinch.chains.layout import Member
 from basilwinch.record import Record
 
-__all__ = ["PathChoice", "PathFinder"]
+__all__ = ["PathChoice", "PathFinder", "Stage"]
 
 # Time that a crossing between zones counts for, per pass. All zones share one pipe; a prompt of the
 # usual size takes it for about 25 ms, which is spread over the passes of a response.
@@ -68,7 +68,7 @@
             kind = engine.kinds.get(entry.kind)
             if kind is None or self._load.is_suspect(entry.id):
                 continue
-            yield _Stage(entry, kind, engine, self._load)
+            yield Stage(entry, kind, engine, self._load)
 
     def _solve(self, stages, cuts, engine):
         """Return by boundary and zone: cost of the rest, stage and next boundary."""
@@ -124,8 +124,8 @@
             yield (stage.weighted_ms * (end - cut) + _MEMBER_MS + rest, stage, end)
 
 
-class _Stage:
-    """A server as the search sees it."""
+class Stage:
+    """A server with its load, as a part of a path."""
 
     __slots__ = ("entry", "held", "layer_ms", "weighted_ms", "read_layer_ms", "room")
 
--- a/basilwinch/entry/node.py
+++ b/basilwinch/entry/node.py
@@ -7,8 +7,8 @@
 import structlog
 import trio
 
-from basilwinch.chains import FleetLoad, PathFinder
-from basilwinch.chains.keeper import Keeper
+from basilwinch.chains import FleetLoad, PathFinder, WholeChains
+from basilwinch.chains.keeper import LAYOUT_PREFIX, Keeper
 from basilwinch.entry.metrics import Metrics
 from basilwinch.entry.settings import EntrySettings
 from basilwinch.exception import DRAINING
@@ -32,9 +32,9 @@
 _KEEP_S = 4.0  # idle connections to servers; servers state no more than a few seconds
 _MOST_IDLE = 16  # idle connections to one server
 _BACKLOG = 1024
-# A node with an older view takes no new callers. A sound view is at most a watch and a slow answer
-# old, and the balancer needs two misses before the view is too old to serve with.
-_READY_AGE_S = 2.2
+# A node whose view is older than the pause between checks and this takes no new callers; it covers
+# a slow answer. The balancer needs two misses before the view is too old to serve with.
+_READY_SLACK_S = 0.9
 # Callers come until the balancer has missed two answers, one a second. A request taken later
 # might not end before the kill.
 _STOP_ACCEPT_S = 2.5
@@ -85,8 +85,17 @@
         finder = PathFinder(self.load)
         self._selection = selection
         self._reports = ServerReports(self._pool, dialect, clock)
+        self._chains = WholeChains(self.load, rng)
         services = Services(
-            self.view, self._pool, dialect, selection, budget, self.load, finder, self._reports
+            self.view,
+            self._pool,
+            dialect,
+            selection,
+            budget,
+            self.load,
+            finder,
+            self._chains,
+            self._reports,
         )
         self._forwarder = Forwarder(
             services,
@@ -195,7 +204,7 @@
     def _is_ready(self) -> bool:
         if self._stopping or self.view.configuration is None:
             return False
-        return self.view.age(read_boot_clock()) < _READY_AGE_S
+        return self.view.age(read_boot_clock()) < self._follower.check_s + _READY_SLACK_S
 
     def _limits(self) -> CallerLimits:
         configuration = self.view.configuration
@@ -205,6 +214,8 @@
         self._store.publish(key, value, revision)
         if key.startswith(NODES_PREFIX):
             self._peers.apply(key, value)
+        elif key.startswith(LAYOUT_PREFIX):
+            self._chains.apply(key.removeprefix(LAYOUT_PREFIX), value)
 
     def _count_nodes(self) -> int:
         return self._peers.nodes
@@ -214,6 +225,7 @@
         while True:
             await trio.sleep(_SWEEP_S)
             self._pool.sweep()
+            self._follower.set_nodes(self._peers.nodes)
             self.load.forget(self.view.servers)
             self._selection.forget(self.view.servers)
             self._reports.forget(self.view.servers)
--- a/basilwinch/forward/services.py
+++ b/basilwinch/forward/services.py
@@ -6,6 +6,9 @@
 
 __all__ = ["Services"]
 
+# With reports less often than this, other nodes send several requests unseen between two of them.
+_RARE_REPORTS_S = 0.5
+
 
 class Services:
     """Shared parts of the forwarders.
@@ -17,6 +20,7 @@
     :param budget: :class:`~basilwinch.forward.budget.RetryBudget`
     :param load: :class:`~basilwinch.chains.load.FleetLoad`
     :param finder: :class:`~basilwinch.chains.path.PathFinder`
+    :param chains: :class:`~basilwinch.chains.whole.WholeChains`
     :param reports: :class:`~basilwinch.forward.reports.ServerReports`
     """
 
@@ -32,7 +36,7 @@
         "freed",
     )
 
-    def __init__(self, view, pool, dialect, selection, budget, load, finder, reports):
+    def __init__(self, view, pool, dialect, selection, budget, load, finder, chains, reports):
         self.view = view
         self.pool = pool
         self.dialect = dialect
@@ -40,6 +44,7 @@
         self.budget = budget
         self.load = load
         self.finder = finder
+        self.chains = chains
         self.reports = reports
         self.freed = trio.Event()
 
@@ -51,6 +56,17 @@
         """Return the servers of a request's service."""
         return self.view.by_service.get(context.service.name, [])
 
+    def find_path(self, context: Context, tokens: int, avoid):
+        """Return a path with room for a request, or None."""
+        engine, prompt = context.service.engine, context.info.prompt_tokens
+        if self.load.interval_s > _RARE_REPORTS_S:
+            entries = self.view.servers
+            name = context.service.name
+            choice = self.chains.find(name, entries, engine, tokens, prompt, avoid)
+            if choice is not None:
+                return choice
+        return self.finder.find(self.servers(context), engine, tokens, prompt, avoid)
+
     def announce_room(self) -> None:
         """Wake the requests that wait for room."""
         self.freed.set()
--- a/basilwinch/forward/stream.py
+++ b/basilwinch/forward/stream.py
@@ -115,17 +115,10 @@
     async def _admit(self, attempt: int):
         """Return a path with room, or a failure after a bounded wait."""
         services, context = self._services, self._context
-        engine = context.service.engine
         objective = context.route.objective_s
         until = min(trio.current_time() + objective * _WAIT_PART, context.deadline)
         while True:
-            choice = services.finder.find(
-                services.servers(context),
-                engine,
-                self._tokens(),
-                context.info.prompt_tokens,
-                self._avoid,
-            )
+            choice = services.find_path(context, self._tokens(), self._avoid)
             if choice is not None:
                 return choice
             if self._avoid and attempt:
--- a/basilwinch/peers/exchange.py
+++ b/basilwinch/peers/exchange.py
@@ -91,7 +91,8 @@
         idle = False
         while True:
             peers = list(self._peers.items())
-            await trio.sleep(max(_INTERVAL_S, len(peers) / _DATAGRAMS_PER_S))
+            self._load.interval_s = max(_INTERVAL_S, len(peers) / _DATAGRAMS_PER_S)
+            await trio.sleep(self._load.interval_s)
             shares = {s: share for s, share in self._load.own.items() if share.requests}
             if not shares and idle:
                 continue
--- a/basilwinch/view/follower.py
+++ b/basilwinch/view/follower.py
@@ -14,8 +14,15 @@
 # Between questions for the store's revision. Together with a slow answer it leaves most of the time
 # until keys are refused for an outage of the store.
 _CHECK_S = 1.3
-_CATCH_UP_S = 0.4  # time for the watch to bring the changes that a check has shown
-_BATCH_S = 0.15  # pause after changes, so that a series of them takes few calls
+# In a large fleet nodes ask less often, since the store's rate grows more slowly than the fleet.
+_LONGEST_CHECK_S = 2.4
+_CHECKS_PER_S = 30.0  # of all nodes, until the longest pause is reached
+_CATCH_UP_S = 0.2  # beyond the pause: time for the watch to bring what a check has shown
+# Pause after changes, so that a series of them takes few calls; in a large fleet each node waits
+# longer, as a change wakes all of them.
+_BATCH_S = 0.25
+_LONGEST_BATCH_S = 0.7
+_BATCH_PER_NODE_S = 0.01
 _RETURN_S = 2.0  # time in which servers that lapsed during an outage are back
 
 
@@ -71,6 +78,8 @@
         "_missing",
         "_revision",
         "_watch_scope",
+        "check_s",
+        "_batch_s",
         "on_key",
     )
 
@@ -84,8 +93,15 @@
         self._missing: dict[str, float] = {}
         self._revision: int | None = None
         self._watch_scope = trio.CancelScope()
+        self.check_s = _CHECK_S
+        self._batch_s = _BATCH_S
         self.on_key = None
 
+    def set_nodes(self, nodes: int) -> None:
+        """Fit the pauses to the number of nodes."""
+        self.check_s = min(_LONGEST_CHECK_S, max(_CHECK_S, nodes / _CHECKS_PER_S))
+        self._batch_s = min(_LONGEST_BATCH_S, max(_BATCH_S, nodes * _BATCH_PER_NODE_S))
+
     async def run(self) -> None:
         """Follow forever."""
         async with trio.open_nursery() as nursery:
@@ -103,7 +119,7 @@
                     changed = await self._read_changes(self._revision)
                     self._regained()
                     pause = _PAUSE_S
-                    await trio.sleep(_BATCH_S if changed else 0)
+                    await trio.sleep(self._batch_s if changed else 0)
             except PlatformError as error:
                 if error.failure.kind is HISTORY_COMPACTED:
                     self._log.warning("history lost, reading anew", after=self._revision)
@@ -116,7 +132,7 @@
     async def _check(self) -> None:
         """Ask for the store's revision, and read anew if changes are missing."""
         while True:
-            await trio.sleep(_CHECK_S * self._rng.uniform(0.8, 1.0))
+            await trio.sleep(self.check_s * self._rng.uniform(0.8, 1.0))
             self._drop_missing()
             if self._revision is None:
                 continue
@@ -127,7 +143,7 @@
                 self._lost(error)
                 continue
             if not self._holds(revision):
-                await trio.sleep(_CATCH_UP_S)
+                await trio.sleep(self._batch_s + _CATCH_UP_S)
             if self._holds(revision):
                 self._view.confirm(asked_at)
             else:
