--- a/basilwinch/forward/services.py
+++ b/basilwinch/forward/services.py
@@ -32,6 +32,7 @@
         "budget",
         "load",
         "finder",
+        "chains",
         "reports",
         "freed",
     )
