--- /dev/null
+++ b/bench/soak_processes.py
@@ -0,0 +1,339 @@
+"""Randomized soak: real nodes as processes, faults from outside, promises checked meanwhile."""
+
+import argparse
+import contextlib
+import json
+import os
+import pathlib
+import random
+import signal
+import subprocess
+import sys
+import tempfile
+
+import trio
+
+from basilwinch.exception import ServerError
+from basilwinch.platform.tests.standin import StandinPlatform
+from basilwinch.wire import connect
+from bench.proxy import FaultProxy
+from bench.soak_site import KEYS, make_configuration, make_settings
+
+__all__ = ["Soak", "main"]
+
+_CALM_S = 5.0  # after the last fault: until answers must flow again
+_FAULT_PAUSE_S = (0.1, 1.2)  # faults come in series and overlap
+_FAULT_S = (0.3, 2.5)
+_REQUEST_PAUSE_S = 0.03
+_CALLERS = 12
+_REVOKE_S = 5.0  # bound of the settings
+_EVENTS = b"".join(b"id: %d\ndata: token\n\n" % n for n in range(1, 7))
+_PROMISES = (408, 421, 429, 503)  # statuses that say "not run"
+
+
+class Node:
+    """A node's process, on a loopback address of its own."""
+
+    def __init__(self, number: int, proxy: FaultProxy, folder: pathlib.Path):
+        self.host = f"127.0.1.{number + 1}"
+        self.proxy = proxy
+        self.log = folder / f"node-{number}.log"
+        self.settings = folder / f"node-{number}.toml"
+        self.settings.write_text(make_settings(number, self.host, f"{proxy.host}:{proxy.port}"))
+        self.process: subprocess.Popen | None = None
+
+    def start(self) -> None:
+        command = [sys.executable, "-m", "basilwinch.platform.program"]
+        with self.log.open("ab") as log:
+            self.process = subprocess.Popen(
+                [*command, "--settings", str(self.settings), "--seed", "1"],
+                stdout=log,
+                stderr=log,
+                env=os.environ | {"PYTHONHASHSEED": "0"},
+            )
+
+    def send(self, number: int) -> None:
+        """Send a signal to this process, if it still runs."""
+        if self.process and self.process.poll() is None:
+            self.process.send_signal(number)
+
+    async def restart(self, number: int) -> None:
+        """End the process by a signal and start it again."""
+        self.send(signal.SIGCONT)
+        self.send(number)
+        while self.process.poll() is None:
+            await trio.sleep(0.02)
+        self.start()
+
+
+class Soak:
+    """One seeded run.
+
+    :param seed: seed of the faults and requests
+    :param seconds: time in which faults come
+    :param nodes: number of processes
+    :param folder: where settings and logs go
+    :param plant: name of a planted fault that the checks must catch, or empty
+    """
+
+    def __init__(self, seed: int, seconds: float, nodes: int, folder, plant: str = ""):
+        self.rng = random.Random(seed)
+        self.seconds = seconds
+        self.count = nodes
+        self.folder = pathlib.Path(folder)
+        self.plant = plant
+        self.violations: list[str] = []
+        self.faults: list[str] = []
+        self.refused: set[bytes] = set()
+        self.answers: list[tuple[float, int]] = []
+        self.sent: dict[bytes, tuple[str, float]] = {}
+        self.revoked: dict[str, float] = {}
+        self.stopping = False
+
+    async def run(self) -> dict:
+        """Play and check; return a report."""
+        configuration = make_configuration()
+        async with trio.open_nursery() as nursery:
+            self.platform = StandinPlatform(configuration)
+            await self.platform.start(nursery)
+            for number in range(3):
+                await self.platform.add_server(nursery, f"p{number}", "plain")
+            for number in range(6):
+                await self.platform.add_server(nursery, f"c{number}", "llm", "card")
+            self.configuration = configuration
+            self.nodes = []
+            for number in range(self.count):
+                proxy = FaultProxy("127.0.0.1", self.platform.port)
+                await proxy.start(nursery)
+                self.nodes.append(Node(number, proxy, self.folder))
+            try:
+                for node in self.nodes:
+                    node.start()
+                await self._play(nursery)
+            finally:
+                for node in self.nodes:
+                    node.send(signal.SIGCONT)
+                    node.send(signal.SIGKILL)
+                    if node.process:
+                        node.process.wait()
+            nursery.cancel_scope.cancel()
+        self._check_runs()
+        return {"violations": self.violations, "faults": self.faults, "requests": len(self.answers)}
+
+    async def _play(self, nursery) -> None:
+        await trio.sleep(3.0)
+        for number in range(_CALLERS):
+            nursery.start_soon(self._call_forever, random.Random(self.rng.random()), number)
+        end = trio.current_time() + self.seconds
+        async with trio.open_nursery() as faults:
+            while trio.current_time() < end:
+                await trio.sleep(self.rng.uniform(*_FAULT_PAUSE_S))
+                fault = self.rng.choice(_FAULTS)
+                self.faults.append(fault.__name__.strip("_"))
+                faults.start_soon(fault, self, self.rng.choice(self.nodes))
+        await trio.sleep(_CALM_S)
+        calm_from = trio.current_time()
+        await trio.sleep(2.0)
+        late = [status for at, status in self.answers if at > calm_from]
+        good = sum(status == 200 for status in late)
+        if good < 0.9 * len(late) or not late:
+            self.violations.append(f"recovery: {good} of {len(late)} served when calm")
+        self.stopping = True
+
+    async def _call_forever(self, rng, number: int) -> None:
+        count = 0
+        while not self.stopping:
+            await trio.sleep(_REQUEST_PAUSE_S * rng.uniform(0.5, 3))
+            count += 1
+            kind = rng.choice(["safe", "unsafe", "s"])
+            key = rng.choice([k for k in KEYS if k not in self.revoked] or KEYS)
+            if self.revoked and rng.random() < 0.2:
+                key = rng.choice(list(self.revoked))
+            request_id = b"%s-%d-%d" % (kind.encode(), number, count)
+            node = rng.choice(self.nodes)
+            with trio.move_on_after(4.0):
+                await self._call(node, kind, key, request_id)
+
+    async def _call(self, node, kind, key, request_id) -> None:
+        sent_at = trio.current_time()
+        self.sent[request_id] = (key, sent_at)
+        method = b"GET" if kind == "safe" else b"POST"
+        header = [
+            (b"Host", b"h.example"),
+            (b"X-Request-Id", request_id),
+            (b"X-Deadline-Ms", b"3000"),
+            (b"X-Token-Count", b"50,18"),
+            (b"X-Credential", key.encode()),
+        ]
+        connection = None
+        try:
+            connection = await connect(node.host, 8101, 1.0)
+            await connection.send(method, b"/%s/x" % kind.encode(), header, b"")
+            response = await connection.receive_head()
+            body = await connection.receive_body(1 << 20)
+        except ServerError:
+            return
+        finally:
+            if connection is not None:
+                connection.close()
+        if key not in self.revoked:
+            self.answers.append((trio.current_time(), response.status_code))
+        self._check_answer(kind, request_id, response, body)
+
+    def _check_answer(self, kind, request_id, response, body) -> None:
+        headers = dict(response.headers)
+        if headers.get(b"x-request-id") != request_id:
+            self.violations.append(f"answer of another request for {request_id!r}")
+        if response.status_code in _PROMISES:
+            self.refused.add(request_id)
+        if response.status_code != 200:
+            return
+        if b"x-server-stamp" not in headers:
+            self.violations.append(f"success without a signature for {request_id!r}")
+        whole = _EVENTS if kind == "s" else b"done by " + headers.get(b"x-server-stamp", b"")
+        if body != whole:
+            self.violations.append(f"wrong body for {request_id!r}: {body[:60]!r}")
+
+    def _check_runs(self) -> None:
+        runs: dict[bytes, int] = {}
+        for server in self.platform.servers:
+            for request_id in server.runs:
+                runs[request_id] = runs.get(request_id, 0) + 1
+        if self.plant == "twice":
+            runs[next(r for r in runs if r.startswith(b"unsafe"))] += 1
+        if self.plant == "refused":
+            self.refused.add(next(r for r in runs if r.startswith(b"unsafe")))
+        for request_id, count in runs.items():
+            if request_id not in self.sent:
+                self.violations.append(f"{request_id!r} was never sent")
+                continue
+            key, sent_at = self.sent[request_id]
+            if request_id.startswith(b"unsafe"):
+                if count > 1:
+                    self.violations.append(f"{request_id!r} ran {count} times")
+                if request_id in self.refused:
+                    self.violations.append(f"{request_id!r} ran though it was refused")
+            if key in self.revoked and sent_at > self.revoked[key] + _REVOKE_S:
+                self.violations.append(f"{request_id!r} ran with a key withdrawn long before")
+
+
+def _span(soak) -> float:
+    return soak.rng.uniform(*_FAULT_S)
+
+
+async def _kill(soak, node):
+    await node.restart(signal.SIGKILL)
+
+
+async def _terminate(soak, node):
+    await node.restart(signal.SIGTERM)
+
+
+async def _pause(soak, node):
+    span = _span(soak)
+    node.send(signal.SIGSTOP)
+    await trio.sleep(span)
+    node.send(signal.SIGCONT)
+
+
+async def _reload(soak, node):
+    node.send(signal.SIGHUP)
+
+
+async def _cut_store(soak, node):
+    node.proxy.mode = soak.rng.choice(["silent", "refuse"])
+    if node.proxy.mode == "refuse":
+        node.proxy.reset_all()
+    await trio.sleep(_span(soak))
+    node.proxy.mode = "pass"
+
+
+async def _delay_store(soak, node):
+    node.proxy.mode, node.proxy.delay_s = "delay", soak.rng.uniform(0.05, 0.3)
+    await trio.sleep(_span(soak))
+    node.proxy.mode = "pass"
+
+
+async def _stop_store(soak, node):
+    soak.platform.down = soak.rng.choice([503, 429])
+    await trio.sleep(_span(soak))
+    soak.platform.down = None
+
+
+async def _compact(soak, node):
+    soak.platform.forget_history()
+
+
+async def _spoil_server(soak, node):
+    server = soak.rng.choice(soak.platform.servers)
+    kinds = ["full", "reset", "error", "cut"] if server.kind else ["full", "reset", "error", "mute"]
+    server.faults += [soak.rng.choice(kinds) for _ in range(soak.rng.randint(1, 4))]
+
+
+async def _leave(soak, node):
+    server = soak.rng.choice(soak.platform.servers[:2])
+    server.state = "draining"
+    soak.platform.register(server)
+    await trio.sleep(_span(soak))
+    server.state = "ready"
+    soak.platform.register(server)
+
+
+async def _withdraw_key(soak, node):
+    held = [key for key in KEYS if key not in soak.revoked]
+    if len(held) < 2:
+        return
+    configuration = soak.configuration
+    configuration["version"] += soak.rng.randint(1, 5)
+    key = soak.rng.choice(held)
+    for organisation in configuration["tenants"]:
+        organisation["api-keys"] = [k for k in organisation["api-keys"] if k != key]
+    soak.platform.put("op/config", json.dumps(configuration).encode())
+    soak.revoked[key] = trio.current_time()
+
+
+_FAULTS = [
+    _kill,
+    _terminate,
+    _pause,
+    _reload,
+    _cut_store,
+    _delay_store,
+    _stop_store,
+    _compact,
+    _spoil_server,
+    _spoil_server,
+    _leave,
+    _withdraw_key,
+]
+
+
+def play(seed: int, seconds: float, nodes: int, folder: str, plant: str = "") -> dict:
+    """Play one seed; return its report."""
+    with contextlib.ExitStack() as stack:
+        folder = folder or stack.enter_context(tempfile.TemporaryDirectory())
+        pathlib.Path(folder).mkdir(parents=True, exist_ok=True)
+        return trio.run(Soak(seed, seconds, nodes, folder, plant).run)
+
+
+def main(arguments=None) -> int:
+    """Play seeds; return 1 if a promise was broken."""
+    parser = argparse.ArgumentParser(description="Fault soak of real processes.")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seeds", type=int, default=1, help="how many seeds from --seed on")
+    parser.add_argument("--seconds", type=float, default=10.0, help="time in which faults come")
+    parser.add_argument("--nodes", type=int, default=4)
+    parser.add_argument("--logs", default="", help="folder for logs; a temporary one by default")
+    parser.add_argument("--plant", default="", choices=["", "twice", "refused"])
+    options = parser.parse_args(arguments)
+    failed = 0
+    for seed in range(options.seed, options.seed + options.seeds):
+        folder = f"{options.logs}/seed-{seed}" if options.logs else ""
+        report = play(seed, options.seconds, options.nodes, folder, options.plant)
+        failed += bool(report["violations"])
+        print(json.dumps({"seed": seed, **report}), flush=True)
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
