Never call a request not run after an attempt that may have run it

Cause: failures are falsy, so 'last or ...' put a rejection in the place of an unknown outcome when the next server was full. Only idempotent requests were told so.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 STAMP = $(VENV)/.installed
 TREES = basilwinch bench
 
-.PHONY: all setup run test lint format bench bench-throughput bench-recovery bench-control bench-gateway soak pages
+.PHONY: all setup run test lint format bench bench-throughput bench-recovery bench-control bench-gateway soak soak-processes pages
 
 all: test
 
@@ -43,6 +43,12 @@
 soak: setup
 	PYTHONHASHSEED=0 $(BIN)/python -m bench.soak --seeds $(SEEDS)
 
+SEED ?= 1
+SECONDS ?= 10
+NODES ?= 4
+soak-processes: setup
+	PYTHONHASHSEED=0 $(BIN)/python -m bench.soak_processes --seed $(SEED) --seconds $(SECONDS) --nodes $(NODES) --logs out/soak
+
 bench-gateway: setup
 	PYTHONHASHSEED=0 $(BIN)/python -m bench.gateway
 
--- a/basilwinch/forward/plain.py
+++ b/basilwinch/forward/plain.py
@@ -45,9 +45,11 @@
         while True:
             server = self._services.choose(context, tried)
             if server is None:
-                return last or NO_SERVER.because("no server left", _RETRY_AFTER_S)
+                failure = NO_SERVER.because("no server left", _RETRY_AFTER_S)
+                return failure if last is None else last
             if context.sends and not self._services.budget.take(context.service.name):
-                return last or BUDGET_SPENT.because("no repeat left", _RETRY_AFTER_S)
+                failure = BUDGET_SPENT.because("no repeat left", _RETRY_AFTER_S)
+                return failure if last is None else last
             tried.add(server.id)
             repeatable = context.route.kind is RouteKind.IDEMPOTENT
             more = repeatable and runs + 1 < context.route.max_attempts
@@ -143,7 +145,8 @@
 
     @_fail.register
     def _(self, outcome: NotRun, last):
-        return last or NO_SERVER.because(outcome.reason, _RETRY_AFTER_S)
+        # A failure is falsy; an earlier attempt that may have run decides what the caller is told.
+        return NO_SERVER.because(outcome.reason, _RETRY_AFTER_S) if last is None else last
 
     @_fail.register
     def _(self, outcome: Broken, last):
--- a/basilwinch/forward/stream.py
+++ b/basilwinch/forward/stream.py
@@ -72,9 +72,10 @@
         for attempt in range(_ATTEMPTS):
             choice = await self._admit(attempt)
             if isinstance(choice, Failure):
-                return self._final(failure or choice)
+                return self._final(choice if failure is None else failure)
             if attempt and not self._services.budget.take(context.service.name):
-                return self._final(failure or BUDGET_SPENT.because("no repeat left", 1.0))
+                spent = BUDGET_SPENT.because("no repeat left", self._retry_after())
+                return self._final(spent if failure is None else failure)
             outcome = await self._attempt(choice)
             if outcome is None or isinstance(outcome, Answered):
                 return outcome
--- a/basilwinch/platform/tests/test_path.py
+++ b/basilwinch/platform/tests/test_path.py
@@ -231,3 +231,18 @@
         kept.close()
 
     run_with(test)
+
+
+def test_request_that_may_have_run_is_never_called_not_run(run_with):
+    """An attempt broke off and the next server was full: the caller was told 503, i.e. not run."""
+
+    async def test(site):
+        for number, faults in enumerate((["reset", "full"], ["full", "reset"])):
+            site.platform.servers[0].faults = faults[:1]
+            site.platform.servers[1].faults = faults[1:]
+            before = len(_runs(site, "plain"))
+            status, _, _ = await site.call(b"GET", b"/safe/a", b"r%d" % number)
+            if len(_runs(site, "plain")) > before:
+                assert status not in (408, 421, 429, 503)
+
+    run_with(test)
