--- a/basilwinch/view/tests/test_follower.py
+++ b/basilwinch/view/tests/test_follower.py
@@ -172,7 +172,7 @@
 
 
 def test_view_is_confirmed_soon_after_the_store_is_back(run_follower):
-    """Soak seed 100: a node refused keys for a second and more after the store had answered again."""
+    """Soak seed 100: a node refused keys for over a second after the store had answered again."""
 
     async def test(store, view):
         store.down = True
