--- a/basilwinch/entry/node.py
+++ b/basilwinch/entry/node.py
@@ -13,7 +13,7 @@
 from basilwinch.entry.settings import EntrySettings
 from basilwinch.exception import DRAINING
 from basilwinch.forward.budget import RetryBudget
-from basilwinch.forward.forwarder import Forwarder
+from basilwinch.forward.forwarder import ELSEWHERE_S, Forwarder
 from basilwinch.forward.plain import PlainForwarder
 from basilwinch.forward.reports import ServerReports
 from basilwinch.forward.selection import ServerSelection
@@ -38,7 +38,6 @@
 # Callers come until the balancer has missed two answers, one a second. A request taken later
 # might not end before the kill.
 _STOP_ACCEPT_S = 2.5
-_ELSEWHERE_S = 0.02  # Retry-After of a node that stops; another node takes the request at once
 _STOP_MARGIN_S = 1.0  # before the kill
 _SWEEP_S = 1.0
 _LEASE_S = 4.0
@@ -190,7 +189,7 @@
             await self._forwarder.handle(exchange)
             return
         request_id = exchange.headers.get(b"x-request-id", b"")
-        header = self._dialect.build_rejection(request_id, _ELSEWHERE_S)
+        header = self._dialect.build_rejection(request_id, ELSEWHERE_S)
         await exchange.respond(DRAINING.status, header, b"")
         self._log.info("request refused while stopping", request=request_id.decode("latin-1"))
 
--- a/basilwinch/forward/forwarder.py
+++ b/basilwinch/forward/forwarder.py
@@ -17,14 +17,14 @@
 from basilwinch.forward.outcome import Answered
 from basilwinch.view import RouteKind, read_boot_clock
 
-__all__ = ["Forwarder"]
+__all__ = ["ELSEWHERE_S", "Forwarder"]
 
 # Part of the time in which a withdrawn key must be refused: with an older view, a key can't
 # be relied on. The rest covers a request's way from its caller.
 _STALE_PART = 0.94
-# For a node without a sound view: callers return on a new connection, so another node takes them,
-# and a wait would only make them late.
-_ELSEWHERE_S = 0.02
+# Retry-After, in seconds, of a node without a sound view or that stops: callers return on a new
+# connection, so another node takes them, and a wait would only make them late.
+ELSEWHERE_S = 0.02
 
 
 class Forwarder:
@@ -74,7 +74,7 @@
         """Return what is needed to forward a request, or why it can't be."""
         configuration = self._services.view.configuration
         if configuration is None:
-            return NO_CONFIGURATION.because("no configuration yet", _ELSEWHERE_S)
+            return NO_CONFIGURATION.because("no configuration yet", ELSEWHERE_S)
         host = exchange.headers.get(b"host", b"").decode("latin-1").lower().partition(":")[0]
         path = exchange.target.partition(b"?")[0].decode("latin-1")
         route = configuration.find_route(host, path)
@@ -84,7 +84,7 @@
         if configuration.organisations is not None and not route.open:
             age_s = self._services.view.age(read_boot_clock())
             if self._bounds.revoke_closed and age_s > self._bounds.revoke_s * _STALE_PART:
-                return STALE_CONFIGURATION.because(f"view is {age_s:.2f} s old", _ELSEWHERE_S)
+                return STALE_CONFIGURATION.because(f"view is {age_s:.2f} s old", ELSEWHERE_S)
             organisation = configuration.organisations.get(info.key)
             if organisation is None:
                 return WRONG_KEY.because(f"key unknown in version {configuration.version}")
--- a/basilwinch/platform/tests/conftest.py
+++ b/basilwinch/platform/tests/conftest.py
@@ -11,6 +11,7 @@
 from basilwinch.exception import ServerError
 from basilwinch.platform import Dialect, MetadataStore, decode_configuration, decode_server
 from basilwinch.platform.documents import CONFIGURATION_KEY, SERVERS_PREFIX
+from basilwinch.platform.tests.site import make_configuration
 from basilwinch.platform.tests.standin import StandinPlatform
 from basilwinch.view.follower import ViewSource
 from basilwinch.wire import connect
@@ -18,37 +19,9 @@
 KEY = "key-1"
 
 
-def _route(name, prefix, kind, service, **fields):
-    common = {"name": name, "host": "h.example", "prefix": prefix, "kind": kind}
-    common |= {"service": service, "timeout-ms": 2000, "slo-ms": 400, "max-attempts": 2}
-    return common | {"priority": 1} | fields
-
-
 @pytest.fixture
 def configuration():
-    engine = {
-        "layers": 8,
-        "layer-mb": 1000.0,
-        "kv-token-bytes": 80000,
-        "kinds": [{"name": "card", "mb": 6000.0, "pace": 1.0, "read-x": 1.0}],
-        "step_ms": 1.0,
-        "per_seq_ms": 0.01,
-        "context_per_k": 0.01,
-        "read_per_s": 100000.0,
-        "stride": 3,
-        "models": [{"name": "m", "load-s": 0.1}],
-        "slots": 8,
-    }
-    return {
-        "version": 3,
-        "routes": [
-            _route("safe", "/safe/", "idempotent", "plain"),
-            _route("unsafe", "/unsafe/", "non_idempotent", "plain", **{"max-attempts": 1}),
-            _route("stream", "/s/", "streaming", "llm", **{"can-resume": True}),
-        ],
-        "services": [{"name": "plain"}, {"name": "llm", "engine": engine}],
-        "tenants": [{"name": "org", "api-keys": [KEY]}],
-    }
+    return make_configuration() | {"tenants": [{"name": "org", "api-keys": [KEY]}]}
 
 
 def _free_port() -> int:
--- a/bench/soak_site.py
+++ b/basilwinch/platform/tests/site.py
@@ -1,4 +1,4 @@
-"""Site of the soak: configuration and settings."""
+"""Site of tests and of the soak: configuration and settings."""
 
 __all__ = ["KEYS", "make_configuration", "make_settings"]
 
--- a/basilwinch/platform/tests/test_settings.py
+++ b/basilwinch/platform/tests/test_settings.py
@@ -5,29 +5,9 @@
 from basilwinch.exception import ConfigurationError
 from basilwinch.platform import read_settings
 from basilwinch.platform.program import main
+from basilwinch.platform.tests.site import make_settings
 
-GOOD = """
-node-name = "edge-1"
-ip = "10.1.0.40"
-zone = "z0"
-internal-ports = [7340, 7355]
-unknown = 1
-[listen]
-front = "10.1.0.40:8227"
-ready = "10.1.0.40:8220"
-[limits]
-memory-mb = 300
-max-fds = 4200
-[bounds]
-drain-ms = 2000
-grace-s = 8
-revoke-ms = 5000
-retry-ratio = 0.2
-retry-window-s = 10
-retry-slack = 196
-[platform]
-address = "10.200.1.7:8223"
-"""
+GOOD = "unknown = 1\n" + make_settings(1, "10.1.0.40", "10.200.1.7:8223")
 
 
 def test_settings_are_read_and_unknown_ones_ignored(tmp_path):
@@ -37,12 +17,12 @@
     assert str(settings.store) == "10.200.1.7:8223"
     assert settings.bounds.revoke_s == 5.0
     assert settings.bounds.revoke_closed
-    assert settings.peer_port == 7340
+    assert settings.peer_port == 8110
 
 
 def test_all_faults_are_named_at_once(tmp_path):
     path = tmp_path / "node.toml"
-    path.write_text(GOOD.replace('zone = "z0"', "zone = 7").replace('"10.1.0.40:8220"', '"here"'))
+    path.write_text(GOOD.replace('zone = "z0"', "zone = 7").replace('"10.1.0.40:8102"', '"here"'))
     with pytest.raises(ConfigurationError) as info:
         read_settings(str(path))
     assert "zone" in info.value.failure.reason
--- a/bench/soak_processes.py
+++ b/bench/soak_processes.py
@@ -15,10 +15,10 @@
 
 from basilwinch.exception import ServerError
 from basilwinch.observability.logs import configure_logs
+from basilwinch.platform.tests.site import KEYS, make_configuration, make_settings
 from basilwinch.platform.tests.standin import StandinPlatform
 from basilwinch.wire import connect
 from bench.proxy import FaultProxy
-from bench.soak_site import KEYS, make_configuration, make_settings
 
 __all__ = ["Soak", "main"]
 
