--- a/basilwinch/platform/tests/standin.py
+++ b/basilwinch/platform/tests/standin.py
@@ -59,7 +59,8 @@
         self.revision = 1
         self.oldest = 0
         self.events: list[dict] = []
-        self.leases: dict[int, float] = {}
+        self.leases: dict[int, tuple[int, float]] = {}
+        self.last_lease = 0
         self.changed = trio.Event()
         self.servers: list[StandinServer] = []
         self.down: int | None = None
@@ -126,8 +127,19 @@
         fields = {"key": key, "value": text, "revision": revision}
         return fields | {"create-rev": revision, "lease": lease}
 
+    def _expire_leases(self) -> None:
+        now = trio.current_time()
+        for lease in [lease for lease, (_, until) in self.leases.items() if until < now]:
+            self._end_lease(lease)
+
+    def _end_lease(self, lease: int) -> None:
+        self.leases.pop(lease, None)
+        for key in [k for k, item in self.items.items() if item[2] == lease]:
+            self.delete(key)
+
     async def _answer(self, exchange) -> None:
         self.calls += 1
+        self._expire_leases()
         if self.down is not None:
             if self.down == 0:
                 await trio.sleep_forever()
@@ -187,18 +199,23 @@
         return 200, {"revision": self.revision}
 
     async def _grant(self, query, body, name):
-        lease = len(self.leases) + 1
-        self.leases[lease] = body["ttl-ms"]
-        return 200, {"lease": lease, "ttl-ms": body["ttl-ms"]}
+        self.last_lease += 1
+        self.leases[self.last_lease] = (body["ttl-ms"], self._lease_end(body["ttl-ms"]))
+        return 200, {"lease": self.last_lease, "ttl-ms": body["ttl-ms"]}
+
+    def _lease_end(self, ttl_ms: int) -> float:
+        return trio.current_time() + ttl_ms / 1000
 
     async def _keep(self, query, body, name):
-        ttl = self.leases.get(int(name))
-        return (404, {}) if ttl is None else (200, {"ttl-ms": ttl})
+        lease = int(name)
+        if lease not in self.leases:
+            return 404, {}
+        ttl_ms = self.leases[lease][0]
+        self.leases[lease] = (ttl_ms, self._lease_end(ttl_ms))
+        return 200, {"ttl-ms": ttl_ms}
 
     async def _end(self, query, body, name):
-        self.leases.pop(int(name), None)
-        for key in [k for k, item in self.items.items() if item[2] == int(name)]:
-            self.delete(key)
+        self._end_lease(int(name))
         return 200, {}
 
     async def _answer_server(self, server, exchange) -> None:
