--- a/basilwinch/forward/silence.py
+++ b/basilwinch/forward/silence.py
@@ -19,13 +19,14 @@
 class Silence:
     """Waits for the next bytes of a chain, and finds out whether it stalls."""
 
-    __slots__ = ("_choice", "_services", "_context", "_head", "reading", "culprit")
+    __slots__ = ("_choice", "_services", "_context", "_head", "_tokens", "reading", "culprit")
 
-    def __init__(self, choice, services, context, head):
+    def __init__(self, choice, services, context, head, tokens: int):
         self._choice = choice
         self._services = services
         self._context = context
         self._head = head
+        self._tokens = tokens
         self.reading = True
         self.culprit: str | None = None
 
@@ -41,10 +42,16 @@
                 return await receive()
             if await self._stalls():
                 return Broken(f"chain stalls at {self.culprit}")
-            if trio.current_time() - start > _GIVE_UP_PART * _CALLER_PATIENCE_S:
+            silent_s = trio.current_time() - start
+            if silent_s > _GIVE_UP_PART * _CALLER_PATIENCE_S and self._has_other():
                 return Broken("chain silent")
             wait_s = _LEAST_SILENCE_S
 
+    def _has_other(self) -> bool:
+        """Return whether another path has room; if none has, a slow chain is the best there is."""
+        used = frozenset(member.server for member in self._choice.members)
+        return self._services.find_path(self._context, self._tokens, used) is not None
+
     async def _stalls(self) -> bool:
         """Ask the head which member its request waits for."""
         report = await self._services.reports.ask(self._head)
--- a/basilwinch/forward/stream.py
+++ b/basilwinch/forward/stream.py
@@ -178,7 +178,7 @@
                 None if self._last_id is None else b"%d" % self._last_id,
             )
             await connection.send(exchange.method, exchange.target, header, exchange.body)
-            silence = Silence(choice, self._services, context, head)
+            silence = Silence(choice, self._services, context, head, self._tokens())
             response = await silence.watch(connection.receive_head)
             if isinstance(response, Broken):
                 self._blame(silence, choice)
--- a/basilwinch/view/follower.py
+++ b/basilwinch/view/follower.py
@@ -25,6 +25,8 @@
 _LONGEST_BATCH_S = 0.7
 _BATCH_PER_NODE_S = 0.01
 _RETURN_S = 2.0  # time in which servers that lapsed during an outage are back
+# After the store's return: time in which its watch tells what lapsed; covers the longest pause.
+_LAPSE_S = 1.2
 
 
 class ViewSource:
@@ -76,6 +78,7 @@
         "_clock",
         "_log",
         "_lost_at",
+        "_returned_at",
         "_missing",
         "_revision",
         "_watch_scope",
@@ -91,6 +94,7 @@
         self._clock = clock
         self._log = structlog.get_logger("follower")
         self._lost_at: float | None = None
+        self._returned_at = float("-inf")
         self._missing: dict[str, float] = {}
         self._revision: int | None = None
         self._watch_scope = trio.CancelScope()
@@ -135,7 +139,8 @@
         pause = self.check_s
         while True:
             await trio.sleep(pause * self._rng.uniform(0.8, 1.0))
-            pause = self.check_s
+            # Lapsed servers are looked at often enough to be dropped in time.
+            pause = _CHECK_AGAIN_S if self._missing else self.check_s
             self._drop_missing()
             if self._revision is None:
                 continue
@@ -146,6 +151,7 @@
                 self._lost(error)
                 pause = _CHECK_AGAIN_S
                 continue
+            self._regained()
             if not self._holds(revision):
                 await trio.sleep(self._batch_s + _CATCH_UP_S)
             if self._holds(revision):
@@ -216,11 +222,17 @@
             self._view.set_server(entry, revision)
 
     def _remove(self, server_id: str, revision: int, reason: str) -> None:
-        """Forget a server, at once or, after an outage, when it has had time to come back."""
-        if self._lost_at is None:
+        """Forget a server, at once or, if it lapsed in an outage, when it has had time to return.
+
+        Only what lapsed in the outage may wait: a server that leaves without a word is bound to get
+        no requests soon after its entry goes.
+        """
+        now = self._clock()
+        if self._lost_at is None and now - self._returned_at > _LAPSE_S:
+            self._missing.pop(server_id, None)
             self._view.remove_server(server_id, revision, reason)
         elif server_id in self._view.servers:
-            self._missing.setdefault(server_id, self._clock() + _RETURN_S)
+            self._missing.setdefault(server_id, now + _RETURN_S)
 
     def _drop_missing(self) -> None:
         now = self._clock()
@@ -234,6 +246,9 @@
             self._log.warning("store lost", reason=error.failure.reason)
 
     def _regained(self) -> None:
-        if self._lost_at is not None and not self._missing:
-            self._log.info("store regained", after_s=round(self._clock() - self._lost_at, 3))
-            self._lost_at = None
+        if self._lost_at is None:
+            return
+        now = self._clock()
+        self._log.info("store regained", after_s=round(now - self._lost_at, 3))
+        self._lost_at = None
+        self._returned_at = now
--- a/basilwinch/view/tests/test_follower.py
+++ b/basilwinch/view/tests/test_follower.py
@@ -185,3 +185,28 @@
             assert view.confirmed_at > back_at - 0.01
 
     run_follower(test)
+
+
+def test_server_that_leaves_after_an_outage_is_dropped_at_once(run_follower):
+    """Incident inc-5825: a node held the store for lost until its watch ended, 16 s too long.
+
+    All that time it gave servers whose entry went 2 s to come back, as after a lapse.
+    """
+
+    async def test(store, view):
+        store.put("servers/s1")
+        store.put("servers/s2")
+        await trio.sleep(0.5)
+        store.down = True
+        await trio.sleep(2.0)
+        store.delete("servers/s2")
+        store.down = False
+        await trio.sleep(1.0)
+        assert "s2" in view.servers
+        await trio.sleep(2.5)
+        assert "s2" not in view.servers
+        store.delete("servers/s1")
+        await trio.sleep(0.3)
+        assert "s1" not in view.servers
+
+    run_follower(test)
