--- a/bench/soak_processes.py
+++ b/bench/soak_processes.py
@@ -36,7 +36,9 @@
     """A node's process, on a loopback address of its own."""
 
     def __init__(self, number: int, proxy: FaultProxy, folder: pathlib.Path):
-        self.host = f"127.0.1.{number + 1}"
+        # Runs beside each other get networks of their own.
+        network, pid = divmod(os.getpid(), 250)
+        self.host = f"127.{network % 250 + 1}.{pid}.{number + 1}"
         self.proxy = proxy
         self.log = folder / f"node-{number}.log"
         self.settings = folder / f"node-{number}.toml"
