--- a/basilwinch/chains/keeper.py
+++ b/basilwinch/chains/keeper.py
@@ -142,14 +142,15 @@
                 report = await self._ask_report(entry)
                 if held.check(self._clock()) is not None:
                     return
-                order = self._dialect.place_order(member.first, member.end, report["sequence"])
+                orders = self._dialect.accepted_orders(report)
+                order = self._dialect.place_order(member.first, member.end, orders)
                 status, _ = await self._call(entry, order)
         except (ServerError, trio.TooSlowError, ValueError, KeyError) as error:
             status = 0
             reason = repr(error)
             self._orders[entry.id] = ((member.first, member.end), self._clock() + _CALL_S)
         else:
-            reason = f"report says {report.get('layers')}"
+            reason = f"after {orders} orders"
             if status not in (200, 202):
                 self._orders[entry.id] = ((member.first, member.end), self._clock() + _CALL_S)
         self._log.info(
--- a/basilwinch/entry/node.py
+++ b/basilwinch/entry/node.py
@@ -188,7 +188,7 @@
         if not self._refusing:
             await self._forwarder.handle(exchange)
             return
-        request_id = exchange.headers.get(b"x-request-id", b"")
+        request_id = self._dialect.read_request(exchange.headers).id
         header = self._dialect.build_rejection(request_id, ELSEWHERE_S)
         await exchange.respond(DRAINING.status, header, b"")
         self._log.info("request refused while stopping", request=request_id.decode("latin-1"))
--- a/basilwinch/platform/dialect.py
+++ b/basilwinch/platform/dialect.py
@@ -153,6 +153,14 @@
         """Return method, target, header and body of the question for a server's report."""
         return (b"GET", b"/-/report", [], b"")
 
+    def accepted_orders(self, report: dict) -> int:
+        """Return the number of orders that a server has accepted since its start.
+
+        :raises KeyError: if the report lacks it
+        """
+        # "sequence" counts heartbeats in a server's entry, but orders in its report.
+        return report["sequence"]
+
     def stalled_at(self, report: dict, request_id: bytes) -> str | None:
         """Return host:port of the server that a request waits for, from its head's report."""
         # "id" is the id of the request here, not of a server.
