--- a/basilwinch/exception.py
+++ b/basilwinch/exception.py
@@ -184,7 +184,6 @@
 )
 BUDGET_SPENT = FailureKind("budget_spent", 503, "The budget of repeats is spent.", True)
 OUTCOME_UNKNOWN = FailureKind("outcome_unknown", 502, "The request may have run.")
-HEADER_TOO_LARGE = FailureKind("header_too_large", 431, "The request header is over the limit.")
 FENCED = FailureKind("fenced", 409, "The fencing number is old.")
 
 # Platform.
