--- a/bench/soak_processes.py
+++ b/bench/soak_processes.py
@@ -62,11 +62,14 @@
 
     async def restart(self, number: int) -> None:
         """End the process by a signal and start it again."""
+        process = self.process
         self.send(signal.SIGCONT)
         self.send(number)
-        while self.process.poll() is None:
+        while process.poll() is None:
             await trio.sleep(0.02)
-        self.start()
+        # Of restarts that overlap, the first to see the end starts the process.
+        if self.process is process:
+            self.start()
 
 
 class Soak:
--- a/bench/tests/test_soak_processes.py
+++ b/bench/tests/test_soak_processes.py
@@ -5,7 +5,10 @@
 from bench.soak_processes import play
 
 # Seeds that failed once stay here, with the cause.
-REGRESSION_SEEDS = {100: "a view was confirmed over a second after the store was back"}
+REGRESSION_SEEDS = {
+    100: "a view was confirmed over a second after the store was back",
+    113: "overlapping restarts of the soak itself waited for the wrong process, for ever",
+}
 
 
 @pytest.mark.parametrize("seed", [1, *REGRESSION_SEEDS])
