Remove state that nothing reads; give the last constants their source

Cause: a second reading of the whole change. Behaviour is unchanged, since pace was always 1. Ruled out: heavy imports; the node loads none of membership, placement or standin (list of modules after import of basilwinch.platform.program: 52 of ours, no scipy, numpy, pytest, trio.testing, httpcore or hypercorn).

--- a/basilwinch/chains/load.py
+++ b/basilwinch/chains/load.py
@@ -36,7 +36,6 @@
         "_total",
         "_total_at",
         "_suspects",
-        "pace",
         "_log",
     )
 
@@ -48,7 +47,6 @@
         self._total: dict[str, Share] = {}
         self._total_at = float("-inf")
         self._suspects: dict[str, tuple[float, float]] = {}
-        self.pace: dict[str, float] = {}
         self._log = structlog.get_logger("load")
 
     def add(self, members, tokens: int) -> None:
@@ -111,6 +109,5 @@
         """Drop what is held about servers that are gone, but for those that requests still use."""
         for server_id in [s for s, share in self.own.items() if not share.requests]:
             del self.own[server_id]
-        for table in (self._suspects, self.pace):
-            for server_id in [s for s in table if s not in known]:
-                del table[server_id]
+        for server_id in [s for s in self._suspects if s not in known]:
+            del self._suspects[server_id]
--- a/basilwinch/chains/path.py
+++ b/basilwinch/chains/path.py
@@ -132,8 +132,7 @@
     def __init__(self, entry, kind, engine, load):
         share = load.at(entry.id)
         held = entry.layers[1] - entry.layers[0]
-        pace = load.pace.get(entry.id, 1.0)
-        scale = kind.step_factor * engine.stride * pace / engine.layers
+        scale = kind.step_factor * engine.stride / engine.layers
         context_ms = engine.context_ms * engine.usual_tokens / 1000
         sequence_ms = engine.sequence_ms + context_ms
         self.entry = entry
@@ -141,6 +140,6 @@
         self.layer_ms = scale * (engine.step_ms + sequence_ms * (share.requests + 1))
         # A further request also slows down those that run there.
         self.weighted_ms = self.layer_ms + scale * sequence_ms * share.requests
-        self.read_layer_ms = kind.read_factor * pace / engine.read_per_ms / engine.layers
+        self.read_layer_ms = kind.read_factor / engine.read_per_ms / engine.layers
         memory = kind.memory_mb - held * engine.layer_mb
         self.room = memory * 1e6 / engine.token_layer_bytes - share.token_layers
--- a/basilwinch/entry/node.py
+++ b/basilwinch/entry/node.py
@@ -31,7 +31,7 @@
 _CONNECT_TIMEOUT_S = 0.4  # a round trip takes under 2 ms; a lost packet is sent again after 1 s
 _KEEP_S = 4.0  # idle connections to servers; servers state no more than a few seconds
 _MOST_IDLE = 16  # idle connections to one server
-_BACKLOG = 1024
+_BACKLOG = 1024  # connections that wait to be taken, so that a burst meets no full queue
 # A node whose view is older than the pause between checks and this takes no new callers; it covers
 # a slow answer. The balancer needs two misses before the view is too old to serve with.
 _READY_SLACK_S = 0.9
@@ -39,10 +39,10 @@
 # might not end before the kill.
 _STOP_ACCEPT_S = 2.5
 _STOP_MARGIN_S = 1.0  # before the kill
-_SWEEP_S = 1.0
-_LEASE_S = 4.0
-_LEASE_MARGIN_S = 1.0
-_USER_TIMEOUT_MS = 5000
+_SWEEP_S = 1.0  # between sweeps; servers come and go over seconds
+_LEASE_S = 4.0  # a stopped keeper is replaced after this; renewed four times within it
+_LEASE_MARGIN_S = 1.0  # the keeper stops so long before; covers a slow answer of the store
+_USER_TIMEOUT_MS = 5000  # callers leave a silent response sooner
 
 
 class EntryNode:
--- a/basilwinch/forward/plain.py
+++ b/basilwinch/forward/plain.py
@@ -83,7 +83,7 @@
             late = trio.current_time() >= context.deadline - _ANSWER_MARGIN_S
             return Broken("deadline" if late else "no answer in time")
         finally:
-            selection.end(server.id, failed, load, trio.current_time() - now)
+            selection.end(server.id, failed, load)
 
     async def _exchange(self, context, server):
         """Return the outcome, whether the server failed, and the load that it told."""
--- a/basilwinch/forward/selection.py
+++ b/basilwinch/forward/selection.py
@@ -12,7 +12,7 @@
 
 
 class _Health(Record):
-    __slots__ = ("outstanding", "failures", "failed_at", "load", "load_at", "latency_s")
+    __slots__ = ("outstanding", "failures", "failed_at", "load", "load_at")
 
 
 class ServerSelection:
@@ -43,7 +43,7 @@
         """Count a request that is sent."""
         self._of(server_id).outstanding += 1
 
-    def end(self, server_id: str, failed: bool | None, load, latency_s: float) -> None:
+    def end(self, server_id: str, failed: bool | None, load) -> None:
         """Count its end.
 
         :param failed: whether the server failed, None if that is not known
@@ -88,5 +88,5 @@
     def _of(self, server_id: str) -> _Health:
         health = self._health.get(server_id)
         if health is None:
-            health = self._health[server_id] = _Health(0, 0.0, 0.0, None, 0.0, 0.0)
+            health = self._health[server_id] = _Health(0, 0.0, 0.0, None, 0.0)
         return health
--- a/basilwinch/forward/tests/test_selection.py
+++ b/basilwinch/forward/tests/test_selection.py
@@ -26,14 +26,14 @@
     """Grey failure: the health is good, but half of the requests fail."""
     for number in range(20):
         selection.begin("s0")
-        selection.end("s0", failed=number % 2 == 0, load=None, latency_s=0.1)
+        selection.end("s0", failed=number % 2 == 0, load=None)
     chosen = [selection.choose(servers, set()).id for _ in range(20)]
     assert "s0" not in chosen
 
 
 def test_busy_server_is_left_to_its_work(servers, selection):
     selection.begin("s0")
-    selection.end("s0", failed=False, load=ServerLoad(6, 4, 6), latency_s=0.1)
+    selection.end("s0", failed=False, load=ServerLoad(6, 4, 6))
     assert selection.choose(servers, set()).id != "s0"
 
 
@@ -46,6 +46,6 @@
 def test_server_forgotten_under_a_request_keeps_its_count(servers, selection):
     selection.begin("s0")
     selection.forget(known={})
-    selection.end("s0", failed=None, load=None, latency_s=0.1)
+    selection.end("s0", failed=None, load=None)
     selection.forget(known={})
     assert selection.choose(servers, set()) is not None
--- a/basilwinch/view/follower.py
+++ b/basilwinch/view/follower.py
@@ -33,7 +33,6 @@
     """Names and decoders of the keys that make up the view.
 
     :param store: store with ``scan_at`` and ``poll``
-    :param prefix: prefix of all keys
     :param configuration_key: key of the configuration
     :param servers_prefix: prefix of the servers' keys
     """
--- a/basilwinch/view/state.py
+++ b/basilwinch/view/state.py
@@ -30,7 +30,6 @@
         "servers",
         "by_service",
         "confirmed_at",
-        "changes",
         "_log",
     )
 
@@ -39,7 +38,6 @@
         self.servers: dict[str, ServerEntry] = {}
         self.by_service: dict[str, list[ServerEntry]] = {}
         self.confirmed_at = float("-inf")
-        self.changes = 0
         self._log = structlog.get_logger("view")
 
     def set_configuration(self, configuration: Configuration, revision: int) -> None:
@@ -48,7 +46,6 @@
         if held is not None and configuration.version <= held.version:
             return
         self.configuration = configuration
-        self.changes += 1
         self._log.info(
             "configuration in force",
             version=configuration.version,
@@ -91,7 +88,6 @@
 
     def _index(self) -> None:
         """Group the servers by service. Time linear in their number."""
-        self.changes += 1
         groups: dict[str, list[ServerEntry]] = {}
         for entry in self.servers.values():
             groups.setdefault(entry.service, []).append(entry)
--- a/basilwinch/wire/client.py
+++ b/basilwinch/wire/client.py
@@ -44,6 +44,7 @@
         sock.close()
         raise ServerError(SERVER_UNREACHABLE.because(f"{host}:{port}: {error!r}")) from None
     except BaseException:
+        # A cancelled connect must close its socket too.
         sock.close()
         raise
     return ServerConnection(sock, host, port)
--- a/basilwinch/wire/pool.py
+++ b/basilwinch/wire/pool.py
@@ -47,11 +47,6 @@
         else:
             connection.close()
 
-    def drop(self, address: tuple[str, int]) -> None:
-        """Close the idle connections of an address."""
-        for connection in self._idle.pop(address, ()):
-            connection.close()
-
     def sweep(self) -> None:
         """Close connections that were idle for too long."""
         for kept in self._idle.values():
--- a/basilwinch/wire/server.py
+++ b/basilwinch/wire/server.py
@@ -85,11 +85,6 @@
         self._last_request = False
         self._log = structlog.get_logger("caller")
 
-    @property
-    def idle(self) -> bool:
-        """Whether no request has begun to arrive."""
-        return self._idle_scope is not None
-
     def close_when_idle(self) -> None:
         """Take no further request; a request under way is served to its end."""
         self._closing = True
