Give up a silent chain only when its successor is reserved

Ruled out: a longer silence alone; the budget may be spent at any time. Now path and repeat are taken first; without them the node goes on waiting for the chain, also when a member is known to be dead, since the servers end such work themselves.

--- a/basilwinch/forward/stream.py
+++ b/basilwinch/forward/stream.py
@@ -1,5 +1,7 @@
 """Forwarding of streams over chains of servers, with resumption."""
 
+from functools import partial
+
 import structlog
 import trio
 
@@ -54,7 +56,17 @@
 class _Relay:
     """The relay of one stream."""
 
-    __slots__ = ("_services", "_context", "_rng", "_last_id", "_avoid", "_runs", "_log")
+    __slots__ = (
+        "_services",
+        "_context",
+        "_rng",
+        "_last_id",
+        "_avoid",
+        "_attempts",
+        "_runs",
+        "_successor",
+        "_log",
+    )
 
     def __init__(self, services, context: Context, rng):
         self._services = services
@@ -63,19 +75,19 @@
         given = context.info.last_event_id
         self._last_id = int(given) if given.isdigit() else None
         self._avoid: set[str] = set()
-        self._runs = 0
+        self._attempts = 0
+        self._runs = 0  # attempts that the request may have run in
+        self._successor = None  # path reserved for the next attempt, with its repeat
         self._log = structlog.get_logger("stream")
 
     async def run(self) -> Answered | Failure | None:
         context = self._context
         failure: Failure | None = None
-        for attempt in range(_ATTEMPTS):
-            choice = await self._admit(attempt)
+        while self._attempts < _ATTEMPTS:
+            choice = await self._take_path()
             if isinstance(choice, Failure):
                 return self._final(choice if failure is None else failure)
-            if attempt and not self._services.budget.take(context.service.name):
-                spent = BUDGET_SPENT.because("no repeat left", self._retry_after())
-                return self._final(spent if failure is None else failure)
+            self._attempts += 1
             outcome = await self._attempt(choice)
             if outcome is None or isinstance(outcome, Answered):
                 return outcome
@@ -113,7 +125,36 @@
             output = min(output, int(info.output_hint * _HINT_PART))
         return info.prompt_tokens + output
 
-    async def _admit(self, attempt: int):
+    async def _take_path(self):
+        """Return the path of the next attempt, with its repeat taken, or a failure."""
+        if self._successor is not None:
+            choice, self._successor = self._successor, None
+            return choice
+        choice = await self._admit()
+        if isinstance(choice, Failure) or not self._attempts:
+            return choice
+        if not self._services.budget.take(self._context.service.name):
+            return BUDGET_SPENT.because("no repeat left", self._retry_after())
+        return choice
+
+    def _reserve(self, choice, culprit: str | None) -> bool:
+        """Reserve path and repeat for another attempt, and return whether there are any.
+
+        Only then may a response under way be given up: without them the caller would get no more.
+        """
+        self._blame(culprit, choice)
+        services, context = self._services, self._context
+        if not context.route.resumable or self._attempts >= _ATTEMPTS:
+            return False
+        if self._runs + 1 >= context.route.max_attempts:
+            return False
+        path = services.find_path(context, self._tokens(), self._avoid)
+        if path is None or not services.budget.take(context.service.name):
+            return False
+        self._successor = path
+        return True
+
+    async def _admit(self):
         """Return a path with room, or a failure after a bounded wait."""
         services, context = self._services, self._context
         objective = context.route.objective_s
@@ -122,7 +163,7 @@
             choice = services.find_path(context, self._tokens(), self._avoid)
             if choice is not None:
                 return choice
-            if self._avoid and attempt:
+            if self._avoid and self._attempts:
                 self._avoid.clear()
                 continue
             now = trio.current_time()
@@ -178,10 +219,9 @@
                 None if self._last_id is None else b"%d" % self._last_id,
             )
             await connection.send(exchange.method, exchange.target, header, exchange.body)
-            silence = Silence(choice, self._services, context, head, self._tokens())
+            silence = Silence(choice, services, context, head, partial(self._reserve, choice))
             response = await silence.watch(connection.receive_head)
             if isinstance(response, Broken):
-                self._blame(silence, choice)
                 return response
             outcome = await self._read(response, connection, choice, silence)
             kept = outcome is None or isinstance(outcome, (Answered, NotRun))
@@ -220,7 +260,6 @@
         while True:
             data = await silence.watch(connection.receive_data)
             if isinstance(data, Broken):
-                self._blame(silence, choice)
                 return data
             if data is None:
                 break
@@ -260,12 +299,12 @@
             header = self._services.dialect.filter_response(response.headers.raw_items())
             await exchange.start(response.status_code, header, data)
 
-    def _blame(self, silence, choice) -> None:
+    def _blame(self, culprit: str | None, choice) -> None:
         """Avoid the member at fault, or else the whole path for this request."""
-        if silence.culprit is None:
+        if culprit is None:
             self._avoid.update(member.server for member in choice.members)
         else:
-            self._blame_named(silence.culprit, choice)
+            self._blame_named(culprit, choice)
 
     def _blame_named(self, address: str | None, choice) -> None:
         if address is None:
--- a/basilwinch/platform/tests/standin.py
+++ b/basilwinch/platform/tests/standin.py
@@ -14,6 +14,7 @@
 
 _SERVED_EVENTS = 6
 _EVENT_S = 0.01
+_PAUSE_S = 1.4  # of a chain that lives and is slow
 
 
 class StandinServer:
@@ -259,6 +260,8 @@
         for number in range(start, _SERVED_EVENTS + 1):
             await trio.sleep(_EVENT_S)
             await exchange.send(b"id: %d\ndata: token\n\n" % number)
+            if fault == "pause" and number == 3:
+                await trio.sleep(_PAUSE_S)
             if fault == "cut" and number == 3:
                 await exchange.send(b"id: 4\nda")
                 _reset(exchange)
--- a/basilwinch/platform/tests/test_path.py
+++ b/basilwinch/platform/tests/test_path.py
@@ -246,3 +246,39 @@
                 assert status not in (408, 421, 429, 503)
 
     run_with(test)
+
+
+def _is_whole(status: int, body: bytes) -> bool:
+    return status == 200 and body == b"".join(b"id: %d\ndata: token\n\n" % n for n in range(1, 7))
+
+
+def test_slow_stream_is_not_given_up_without_a_repeat_for_its_rest(run_with, monkeypatch):
+    """A living chain was given up after 1 s, and its rest cut, as the budget was spent."""
+    monkeypatch.setattr("basilwinch.forward.budget.RetryBudget.take", lambda *_: False)
+
+    async def test(site):
+        for server in site.platform.servers:
+            server.faults = ["pause"]
+        tokens = [(b"X-Token-Count", b"100,18")]
+        status, _, body = await site.call(
+            b"POST", b"/s/a", b"r1", b"{}", headers=tokens, deadline_ms=3000
+        )
+        assert _is_whole(status, body)
+
+    run_with(test)
+
+
+def test_slow_stream_goes_on_at_another_chain(run_with):
+    async def test(site):
+        heads = [s for s in site.platform.servers if s.layers and s.layers[0] == 0]
+        heads[0].faults, heads[1].faults = ["pause"], ["pause"]
+        tokens = [(b"X-Token-Count", b"100,18")]
+        start = trio.current_time()
+        status, _, body = await site.call(
+            b"POST", b"/s/a", b"r1", b"{}", headers=tokens, deadline_ms=3000
+        )
+        assert _is_whole(status, body)
+        assert trio.current_time() - start < 1.4
+        assert sorted(len(s.runs) for s in heads) == [1, 1]
+
+    run_with(test)
