--- a/basilwinch/forward/silence.py
+++ b/basilwinch/forward/silence.py
@@ -11,7 +11,8 @@
 _LEAST_SILENCE_S = 0.12
 _SILENCE_PASSES = 3.0  # or for so many times its estimated pass
 _READ_PASSES = 3.0  # the same for the time in which it reads the prompt
-# A chain that is silent for this part of the time after which callers leave is given up for another.
+# A chain that is silent for this part of the time after which callers leave is given up for
+# another.
 _GIVE_UP_PART = 0.5
 _CALLER_PATIENCE_S = 2.0  # callers leave after a gap of at least this
 
@@ -52,9 +53,9 @@
                 return await receive()
             culprit = await self._find_culprit()
             silent_s = trio.current_time() - start
-            if culprit is not None or silent_s > _GIVE_UP_PART * _CALLER_PATIENCE_S:
-                if self._reserve(culprit):
-                    return Broken(f"chain stalls at {culprit}" if culprit else "chain silent")
+            given_up = culprit is not None or silent_s > _GIVE_UP_PART * _CALLER_PATIENCE_S
+            if given_up and self._reserve(culprit):
+                return Broken(f"chain stalls at {culprit}" if culprit else "chain silent")
             wait_s = _LEAST_SILENCE_S
 
     async def _find_culprit(self) -> str | None:
