Log and count when a stream misses its objective

Operators could not tell late streams from those in time: a request's line had only its whole duration. It now has the time to the first event, the longest gap and what was missed, and there are a histogram and a counter of them.

--- a/basilwinch/entry/metrics.py
+++ b/basilwinch/entry/metrics.py
@@ -10,7 +10,7 @@
 class Metrics:
     """Counters and histograms; no label has more values than there are kinds and outcomes."""
 
-    __slots__ = ("registry", "_requests", "_durations", "_age", "_servers")
+    __slots__ = ("registry", "_requests", "_durations", "_firsts", "_misses", "_age", "_servers")
 
     def __init__(self):
         self.registry = prometheus_client.CollectorRegistry()
@@ -27,6 +27,18 @@
             buckets=_BUCKETS_S,
             registry=self.registry,
         )
+        self._firsts = prometheus_client.Histogram(
+            "basilwinch_first_event_seconds",
+            "Time from the whole request to the first event of its stream, in seconds",
+            buckets=_BUCKETS_S,
+            registry=self.registry,
+        )
+        self._misses = prometheus_client.Counter(
+            "basilwinch_late_streams",
+            "Streams whose first event, or a gap between events, missed its objective",
+            ["objective"],
+            registry=self.registry,
+        )
         self._age = prometheus_client.Gauge(
             "basilwinch_view_age_seconds",
             "Seconds since the view was known to be complete",
@@ -48,6 +60,12 @@
         self._requests.labels(kind, outcome).inc()
         self._durations.labels(kind).observe(duration_s)
 
+    def count_stream(self, first_s: float, misses: list[str]) -> None:
+        """Count a stream that has begun, by the objectives that it missed."""
+        self._firsts.observe(first_s)
+        for objective in misses:
+            self._misses.labels(objective).inc()
+
     def render(self) -> bytes:
         """Return the text that is served on the metrics address."""
         return prometheus_client.generate_latest(self.registry)
--- a/basilwinch/forward/context.py
+++ b/basilwinch/forward/context.py
@@ -30,6 +30,9 @@
         "outcome",
         "reason",
         "servers",
+        "first_s",
+        "longest_gap_s",
+        "_passed_at",
     )
 
     def __init__(self, exchange, info, route, service, organisation, priority, started_at, version):
@@ -49,3 +52,23 @@
         self.outcome = "gone"
         self.reason = ""
         self.servers: list[str] = []
+        self.first_s: float | None = None
+        self.longest_gap_s = 0.0
+        self._passed_at = started_at
+
+    def note_passed(self, now: float) -> None:
+        """Note that events were passed on: time to the first, and the longest gap after it."""
+        if self.first_s is None:
+            self.first_s = now - self.started_at
+        else:
+            self.longest_gap_s = max(self.longest_gap_s, now - self._passed_at)
+        self._passed_at = now
+
+    def find_misses(self) -> list[str]:
+        """Return which objectives the stream missed: ``first`` event, ``gap`` between events."""
+        misses = []
+        if self.first_s is not None and self.first_s > self.route.objective_s:
+            misses.append("first")
+        if self.route.gap_s and self.longest_gap_s > self.route.gap_s:
+            misses.append("gap")
+        return misses
--- a/basilwinch/forward/forwarder.py
+++ b/basilwinch/forward/forwarder.py
@@ -143,6 +143,8 @@
         duration_s = trio.current_time() - started_at
         kind = context.route.kind.value
         self._metrics.count_request(kind, context.outcome, duration_s)
+        if context.first_s is not None:
+            self._metrics.count_stream(context.first_s, context.find_misses())
         self._log.info(
             "request",
             request=context.info.id.decode("latin-1"),
@@ -152,4 +154,16 @@
             reason=context.reason,
             servers=context.servers,
             ms=round(duration_s * 1000, 1),
+            **_describe_stream(context),
         )
+
+
+def _describe_stream(context: Context) -> dict:
+    """Return what the log tells of a stream that has begun."""
+    if context.first_s is None:
+        return {}
+    return {
+        "first_ms": round(context.first_s * 1000, 1),
+        "gap_ms": round(context.longest_gap_s * 1000, 1),
+        "missed": context.find_misses(),
+    }
--- a/basilwinch/forward/stream.py
+++ b/basilwinch/forward/stream.py
@@ -298,6 +298,7 @@
         else:
             header = self._services.dialect.filter_response(response.headers.raw_items())
             await exchange.start(response.status_code, header, data)
+        self._context.note_passed(trio.current_time())
 
     def _blame(self, culprit: str | None, choice) -> None:
         """Avoid the member at fault, or else the whole path for this request."""
--- a/basilwinch/platform/tests/test_path.py
+++ b/basilwinch/platform/tests/test_path.py
@@ -282,3 +282,22 @@
         assert sorted(len(s.runs) for s in heads) == [1, 1]
 
     run_with(test)
+
+
+def test_late_stream_is_counted_by_the_objective_that_it_missed(run_with, configuration):
+    configuration["routes"][2]["gap-target-ms"] = 250
+
+    async def test(site):
+        heads = [s for s in site.platform.servers if s.layers and s.layers[0] == 0]
+        tokens = [(b"X-Token-Count", b"100,18")]
+        await site.call(b"POST", b"/s/a", b"r1", b"{}", headers=tokens)
+        assert b'late_streams_total{objective="gap"}' not in site.node.metrics.render()
+        for server in heads:
+            server.faults = ["pause"]
+        await site.call(b"POST", b"/s/a", b"r2", b"{}", headers=tokens, deadline_ms=3000)
+        # The node counts when the caller has its answer.
+        render = site.node.metrics.render
+        await site.until(lambda: b'late_streams_total{objective="gap"} 1.0' in render())
+        assert b"first_event_seconds_count 2.0" in render()
+
+    run_with(test)
