Keep requests within the rate of the pipe that zones share

Chains that cross fell silent for over 1 s (188 requests in 2 s ended as 'chain silent'), were given up and read again elsewhere. One mended chain served nobody from 17 s to 33 s. Now a node takes its part of half of the pipe (chains/pipe.py), and a layout crosses only as often as the pipe bears.

--- a/basilwinch/chains/layout.py
+++ b/basilwinch/chains/layout.py
@@ -1,5 +1,6 @@
 """Layout of chains: which server holds which layers."""
 
+from basilwinch.chains.pipe import count_chain_crossings, count_crossings
 from basilwinch.record import Record
 
 __all__ = ["Member", "plan_chains"]
@@ -36,6 +37,7 @@
     servers come first, so that few chains wait for slow cards. Time O(n log n) for n servers.
     """
     usable = {s.id: s for s in servers if s.kind in engine.kinds}
+    allowed = count_chain_crossings(engine)
     free = dict(usable)
     chains, broken = [], []
     for chain in held:
@@ -45,7 +47,7 @@
         (chains if intact else broken).append(chain)
     for chain in broken:
         lost = [member.server for member in chain if member.server not in usable]
-        mended = _mend(chain, usable, free, engine)
+        mended = _mend(chain, usable, free, engine, _left(allowed, chains, usable))
         if mended is not None:
             chains.append(mended)
         elif missed.issuperset(lost):
@@ -54,11 +56,25 @@
             free |= {m.server: usable[m.server] for m in chain if m.server in usable}
     # Beside the chains that there were, only a good one is worth the reserve that mends the others.
     wanted = (_WANTED_REQUESTS,) if held and len(chains) >= len(held) else _REQUESTS
-    return chains + _form(free, engine, wanted)
+    return chains + _form(free, engine, wanted, _left(allowed, chains, usable))
 
 
-def _mend(chain, usable, free, engine) -> list[Member] | None:
-    """Fill the holes of a chain from free servers, or return None and take none."""
+def _left(allowed: int | None, chains, usable) -> int | None:
+    """Return how often further chains may cross between zones; None is without a limit."""
+    if allowed is None:
+        return None
+    return allowed - sum(_count_crossings(chain, usable) for chain in chains)
+
+
+def _count_crossings(chain, usable) -> int:
+    return count_crossings([usable[m.server].zone for m in chain if m.server in usable])
+
+
+def _mend(chain, usable, free, engine, crossings: int | None) -> list[Member] | None:
+    """Fill the holes of a chain from free servers, or return None and take none.
+
+    :param crossings: how often the chain may cross between zones; None is without a limit
+    """
     taken: list[str] = []
     mended = []
     zones = [usable[m.server].zone for m in chain if m.server in usable]
@@ -79,6 +95,8 @@
                 position += count
         if position < member.end:
             return None
+    if crossings is not None and _count_crossings(mended, usable) > crossings:
+        return None
     for server_id in taken:
         del free[server_id]
     return mended
@@ -94,13 +112,19 @@
     return sorted(spare, key=rank)
 
 
-def _form(free: dict, engine, wanted: tuple) -> list[list[Member]]:
+def _form(free: dict, engine, wanted: tuple, crossings: int | None) -> list[list[Member]]:
     """Form new chains from free servers, within zones first."""
+    servers = dict(free)
     chains = []
     for zone in sorted({server.zone for server in free.values()}):
         pool = [server for server in free.values() if server.zone == zone]
         chains += _form_from(pool, free, engine, wanted)
-    return chains + _form_from(list(free.values()), free, engine, wanted)
+    for chain in _form_from(list(free.values()), free, engine, wanted):
+        count = _count_crossings(chain, servers)
+        if crossings is None or count <= crossings:
+            chains.append(chain)
+            crossings = None if crossings is None else crossings - count
+    return chains
 
 
 def _form_from(pool: list, free: dict, engine, wanted: tuple) -> list[list[Member]]:
--- a/basilwinch/chains/path.py
+++ b/basilwinch/chains/path.py
@@ -1,8 +1,10 @@
 """Choice of a path: the servers that a request passes through, in order of layers."""
 
+import math
 from collections import defaultdict
 
 from basilwinch.chains.layout import Member
+from basilwinch.chains.pipe import count_crossings
 from basilwinch.record import Record
 
 __all__ = ["PathChoice", "PathFinder", "Stage"]
@@ -21,9 +23,10 @@
     :param members: list of :class:`~basilwinch.chains.layout.Member`
     :param pass_ms: time of a pass, i.e. between two events
     :param read_ms: time to read the prompt
+    :param crossings: how often it goes from one zone to another
     """
 
-    __slots__ = ("members", "pass_ms", "read_ms")
+    __slots__ = ("members", "pass_ms", "read_ms", "crossings")
 
 
 class PathFinder:
@@ -37,7 +40,7 @@
     def __init__(self, load):
         self._load = load
 
-    def find(self, servers, engine, tokens: int, prompt: int, avoid=frozenset()):
+    def find(self, servers, engine, tokens: int, prompt: int, avoid=frozenset(), across=True):
         """Return the best path, or None if no servers with room hold every layer.
 
         :param servers: entries of the service's servers
@@ -45,6 +48,7 @@
         :param tokens: tokens of the request's KV cache
         :param prompt: tokens to read first
         :param avoid: ids of servers to leave out
+        :param across: whether the path may cross between zones
 
         Notes
         -----
@@ -58,7 +62,7 @@
         cuts = sorted(cut for cut in cuts if 0 <= cut <= engine.layers)
         if not cuts or cuts[0] != 0 or cuts[-1] != engine.layers:
             return None
-        best = self._solve(stages, cuts, engine)
+        best = self._solve(stages, cuts, engine, _CROSSING_MS if across else math.inf)
         return self._trace(best, engine, prompt)
 
     def _stages(self, servers, engine, avoid):
@@ -70,7 +74,7 @@
                 continue
             yield Stage(entry, kind, engine, self._load)
 
-    def _solve(self, stages, cuts, engine):
+    def _solve(self, stages, cuts, engine, crossing_ms: float):
         """Return by boundary and zone: cost of the rest, stage and next boundary."""
         zones = {stage.entry.zone for stage in stages}
         best = {engine.layers: dict.fromkeys(zones, (0.0, None, None))}
@@ -87,7 +91,7 @@
             best[cut] = {
                 zone: min(
                     (
-                        (cost + (_CROSSING_MS if stage.entry.zone != zone else 0.0), stage, end)
+                        (cost + (crossing_ms if stage.entry.zone != zone else 0.0), stage, end)
                         for cost, stage, end in options
                     ),
                     key=lambda option: option[0],
@@ -100,19 +104,22 @@
         if 0 not in best:
             return None
         cost, stage, end = min(best[0].values(), key=lambda option: option[0])
+        if cost == math.inf:
+            return None
+        zones = []
         members, used = [], set()
         position, pass_ms, read_ms = 0, 0.0, 0.0
         while stage is not None:
             if stage.entry.id in used or len(members) == _MOST_MEMBERS:
                 return None
             used.add(stage.entry.id)
+            zones.append(stage.entry.zone)
             members.append(Member(stage.entry.id, position, end))
             pass_ms += stage.layer_ms * (end - position)
             read_ms += stage.read_layer_ms * (end - position) * prompt
             position = end
             _, stage, end = best[position][stage.entry.zone]
-        return PathChoice(members, pass_ms, read_ms)
-        return PathChoice(members, pass_ms, read_ms)
+        return PathChoice(members, pass_ms, read_ms, count_crossings(zones))
 
 
 def _options(stage, cut, cuts, best):
--- a/basilwinch/chains/whole.py
+++ b/basilwinch/chains/whole.py
@@ -10,6 +10,7 @@
 
 from basilwinch.chains.layout import Member
 from basilwinch.chains.path import PathChoice, Stage
+from basilwinch.chains.pipe import count_crossings
 
 __all__ = ["WholeChains"]
 
@@ -41,7 +42,14 @@
             self._log.error("layout unreadable", service=service, error=repr(error))
 
     def find(
-        self, service: str, entries: dict, engine, tokens: int, prompt: int, avoid=frozenset()
+        self,
+        service: str,
+        entries: dict,
+        engine,
+        tokens: int,
+        prompt: int,
+        avoid=frozenset(),
+        across=True,
     ):
         """Return a chain as a path, or None if no whole chain has room.
 
@@ -50,6 +58,7 @@
         :param tokens: tokens of the request's KV cache
         :param prompt: tokens to read first
         :param avoid: ids of servers to leave out
+        :param across: whether the chain may cross between zones
 
         Notes
         -----
@@ -63,9 +72,12 @@
             free = min(stage.room / (tokens * stage.held) for stage in stages)
             if free < 1:
                 continue
+            crossings = count_crossings([stage.entry.zone for stage in stages])
+            if crossings and not across:
+                continue
             pass_ms = sum(stage.layer_ms * stage.held for stage in stages)
             read_ms = sum(stage.read_layer_ms * stage.held for stage in stages) * prompt
-            choices.append(PathChoice(chain, pass_ms, read_ms))
+            choices.append(PathChoice(chain, pass_ms, read_ms, crossings))
             weights.append(free / pass_ms)
         if not choices:
             return None
--- a/basilwinch/entry/node.py
+++ b/basilwinch/entry/node.py
@@ -9,6 +9,7 @@
 
 from basilwinch.chains import FleetLoad, PathFinder, WholeChains
 from basilwinch.chains.keeper import LAYOUT_PREFIX, Keeper
+from basilwinch.chains.pipe import PipeBudget
 from basilwinch.entry.metrics import Metrics
 from basilwinch.entry.settings import EntrySettings
 from basilwinch.exception import DRAINING
@@ -94,6 +95,7 @@
             self.load,
             finder,
             self._chains,
+            PipeBudget(nodes, clock, rng),
             self._reports,
         )
         self._forwarder = Forwarder(
--- a/basilwinch/forward/services.py
+++ b/basilwinch/forward/services.py
@@ -21,6 +21,7 @@
     :param load: :class:`~basilwinch.chains.load.FleetLoad`
     :param finder: :class:`~basilwinch.chains.path.PathFinder`
     :param chains: :class:`~basilwinch.chains.whole.WholeChains`
+    :param pipe: :class:`~basilwinch.chains.pipe.PipeBudget`
     :param reports: :class:`~basilwinch.forward.reports.ServerReports`
     """
 
@@ -33,11 +34,12 @@
         "load",
         "finder",
         "chains",
+        "pipe",
         "reports",
         "freed",
     )
 
-    def __init__(self, view, pool, dialect, selection, budget, load, finder, chains, reports):
+    def __init__(self, view, pool, dialect, selection, budget, load, finder, chains, pipe, reports):
         self.view = view
         self.pool = pool
         self.dialect = dialect
@@ -46,6 +48,7 @@
         self.load = load
         self.finder = finder
         self.chains = chains
+        self.pipe = pipe
         self.reports = reports
         self.freed = trio.Event()
 
@@ -57,16 +60,20 @@
         """Return the servers of a request's service."""
         return self.view.by_service.get(context.service.name, [])
 
-    def find_path(self, context: Context, tokens: int, avoid):
+    def may_cross(self, context: Context, tokens: int) -> bool:
+        """Return whether a path of a request may cross between zones."""
+        return self.pipe.draw(tokens * context.service.engine.transfer_s)
+
+    def find_path(self, context: Context, tokens: int, avoid, across: bool):
         """Return a path with room for a request, or None."""
         engine, prompt = context.service.engine, context.info.prompt_tokens
         if self.load.interval_s > _RARE_REPORTS_S:
             entries = self.view.servers
             name = context.service.name
-            choice = self.chains.find(name, entries, engine, tokens, prompt, avoid)
+            choice = self.chains.find(name, entries, engine, tokens, prompt, avoid, across)
             if choice is not None:
                 return choice
-        return self.finder.find(self.servers(context), engine, tokens, prompt, avoid)
+        return self.finder.find(self.servers(context), engine, tokens, prompt, avoid, across)
 
     def announce_room(self) -> None:
         """Wake the requests that wait for room."""
--- a/basilwinch/forward/stream.py
+++ b/basilwinch/forward/stream.py
@@ -148,7 +148,9 @@
             return False
         if self._runs + 1 >= context.route.max_attempts:
             return False
-        path = services.find_path(context, self._tokens(), self._avoid)
+        tokens = self._tokens()
+        across = services.may_cross(context, tokens)
+        path = services.find_path(context, tokens, self._avoid, across)
         if path is None or not services.budget.take(context.service.name):
             return False
         self._successor = path
@@ -159,8 +161,10 @@
         services, context = self._services, self._context
         objective = context.route.objective_s
         until = min(trio.current_time() + objective * _WAIT_PART, context.deadline)
+        tokens = self._tokens()
+        across = services.may_cross(context, tokens)
         while True:
-            choice = services.find_path(context, self._tokens(), self._avoid)
+            choice = services.find_path(context, tokens, self._avoid, across)
             if choice is not None:
                 return choice
             if self._avoid and self._attempts:
@@ -180,6 +184,7 @@
         services, context = self._services, self._context
         tokens = self._tokens()
         services.load.add(choice.members, tokens)
+        services.pipe.take(choice.crossings * tokens * context.service.engine.transfer_s)
         try:
             with trio.move_on_at(context.deadline - _ANSWER_MARGIN_S):
                 return await self._exchange(choice)
--- a/basilwinch/platform/documents.py
+++ b/basilwinch/platform/documents.py
@@ -97,9 +97,16 @@
         usual_tokens=usual.get("prompt", 500) + usual.get("answer", 200),
         load_s=max(model.get("load-s", 0) for model in engine["models"]),
         slots=engine.get("slots", 64),
+        transfer_s=_decode_transfer(engine),
     )
 
 
+def _decode_transfer(engine: dict) -> float:
+    """Return the seconds for which a token takes the pipe; no rate means no limit."""
+    rate_mbps = engine.get("pipe-mbps", 0)
+    return engine.get("act-bytes", 0) * 8 / (rate_mbps * 1e6) if rate_mbps else 0.0
+
+
 def _decode_organisations(tenants) -> dict[str, Organisation] | None:
     if tenants is None:
         return None
--- a/basilwinch/view/configuration.py
+++ b/basilwinch/view/configuration.py
@@ -63,6 +63,8 @@
     :param stride: steps in a pass
     :param usual_tokens: mean tokens of a request, prompt and response
     :param load_s: time to load all layers
+    :param slots: requests that a server takes at once
+    :param transfer_s: time for which a token takes the pipe that the zones share, 0 without a limit
     """
 
     __slots__ = (
@@ -78,7 +80,9 @@
         "usual_tokens",
         "load_s",
         "slots",
+        "transfer_s",
     )
+    _defaults = {"transfer_s": 0.0}
 
 
 class Service(Record):
