--- a/basilwinch/chains/pipe.py
+++ b/basilwinch/chains/pipe.py
@@ -40,7 +40,7 @@
         self._clock = clock
         self._rng = rng
         self._level_s = _BURST_S  # cut to this node's part when it is first read
-        self._filled_at = clock()
+        self._filled_at: float | None = None  # the clock may not run yet
 
     def draw(self, transfer_s: float) -> bool:
         """Return whether a request may cross.
@@ -51,6 +51,8 @@
         :param transfer_s: time for which the request takes the pipe, in seconds
         """
         nodes, now = self._nodes(), self._clock()
+        if self._filled_at is None:
+            self._filled_at = now
         gained_s = (now - self._filled_at) * _USED_PART / nodes
         self._level_s = min(_BURST_S / nodes, self._level_s + gained_s)
         self._filled_at = now
--- a/basilwinch/platform/tests/test_settings.py
+++ b/basilwinch/platform/tests/test_settings.py
@@ -1,7 +1,9 @@
 """Settings file of the platform."""
 
 import pytest
+import trio
 
+from basilwinch.entry.node import EntryNode
 from basilwinch.exception import ConfigurationError
 from basilwinch.platform import read_settings
 from basilwinch.platform.program import main
@@ -50,3 +52,19 @@
 
     def flush(self):
         pass
+
+
+def test_program_starts_its_node(tmp_path, monkeypatch):
+    """The node is built before the loop runs, when there is no clock of the loop yet."""
+    path = tmp_path / "node.toml"
+    path.write_text(GOOD)
+    started = []
+
+    async def run(node):
+        started.append(node)
+        await trio.lowlevel.checkpoint()
+
+    monkeypatch.setattr(EntryNode, "run", run)
+    monkeypatch.setattr("basilwinch.platform.program.BoundedOutput", lambda _: _Lines([]))
+    assert main(["--settings", str(path)]) == 0
+    assert len(started) == 1
