--- a/basilwinch/chains/tests/test_keeper.py
+++ b/basilwinch/chains/tests/test_keeper.py
@@ -83,7 +83,7 @@
 
 
 def test_new_keeper_mends_at_once_what_the_last_one_left(planned_after, view, servers, engine):
-    """After an outage the new keeper waited a second before its first plan, as for a first start."""
+    """After an outage the new keeper waited a second, as for a first start."""
     layout = plan_chains(servers, engine, [])
     view.remove_server(layout[0][1].server, 2, "test")
     assert planned_after(layout) < 0.1
