--- a/basilwinch/chains/pipe.py
+++ b/basilwinch/chains/pipe.py
@@ -9,8 +9,8 @@
 
 __all__ = ["PipeBudget", "count_chain_crossings", "count_crossings"]
 
-# Part of the pipe that requests may take; the rest carries repeats and the errors of random draws.
-_USED_PART = 0.5
+# Part of the pipe that requests may take; the rest is for errors of the estimate and random draws.
+_USED_PART = 0.8
 # Pipe time that all nodes may take at once after a calm time; callers leave after 2 s of silence.
 _BURST_S = 0.3
 # Requests that a chain starts in a second: 30 at once, for about 3 s each.
