Limit the chance of a chain to what it can take until the next reports

Nodes now report how often they look for a path; a chain's chance is cut to its room and the requests that end there until the next reports, and what no chain can take is held back. The finder spreads its paths for the same reason.

--- a/basilwinch/entry/node.py
+++ b/basilwinch/entry/node.py
@@ -88,7 +88,7 @@
         budget = RetryBudget(
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s, nodes, clock
         )
-        finder = PathFinder(self.load)
+        finder = PathFinder(self.load, rng)
         self._selection = selection
         self._reports = ServerReports(self._pool, dialect, clock)
         self._chains = WholeChains(self.load, rng)
--- a/basilwinch/forward/services.py
+++ b/basilwinch/forward/services.py
@@ -6,9 +6,6 @@
 
 __all__ = ["Services"]
 
-# With reports less often than this, other nodes send several requests unseen between two of them.
-_RARE_REPORTS_S = 0.5
-
 
 class Services:
     """Shared parts of the forwarders.
@@ -67,12 +64,13 @@
     def find_path(self, context: Context, tokens: int, avoid, across: bool):
         """Return a path with room for a request, or None."""
         engine, prompt = context.service.engine, context.info.prompt_tokens
-        if self.load.interval_s > _RARE_REPORTS_S:
+        self.load.note_demand()
+        if self.load.reports_rarely:
             entries = self.view.servers
             name = context.service.name
-            choice = self.chains.find(name, entries, engine, tokens, prompt, avoid, across)
-            if choice is not None:
-                return choice
+            offers = self.chains.find_offers(name, entries, engine, tokens, prompt, avoid, across)
+            if offers:
+                return self.chains.choose(offers)
         return self.finder.find(self.servers(context), engine, tokens, prompt, avoid, across)
 
     def announce_room(self) -> None:
