--- a/basilwinch/chains/load.py
+++ b/basilwinch/chains/load.py
@@ -14,7 +14,7 @@
 _REPORT_INTERVALS = 4  # a report of another node counts for so many intervals; some get lost
 _LEAST_INTERVAL_S = 0.25
 _RARE_REPORTS_S = 0.5  # with reports less often, other nodes send several requests in between
-_DEMAND_WINDOW_S = 3.0  # a node of a large fleet has some requests in it, and a burst is soon seen
+_DEMAND_WINDOW_S = 1.5  # about one report of each node in a large fleet; a burst is soon seen
 _SUSPECT_S = 1.0  # first time for which a server that failed is avoided; doubles up to the longest
 _LONGEST_SUSPECT_S = 4.0
 # One other node may be wrong about a server, as its own link may be at fault.
