Find a dead member by opening connections, before the report shows it

Now a chain that is silent for twice its usual gap has its members tried: a crashed one refuses at once, a dark one misses two connects of 30 ms. Streams of a chain share the answers; the sharing was moved out of the reports. Tests: forward/tests/test_members.py.

--- a/basilwinch/entry/node.py
+++ b/basilwinch/entry/node.py
@@ -15,6 +15,7 @@
 from basilwinch.exception import DRAINING
 from basilwinch.forward.budget import RetryBudget
 from basilwinch.forward.forwarder import ELSEWHERE_S, Forwarder
+from basilwinch.forward.members import MemberProbe
 from basilwinch.forward.plain import PlainForwarder
 from basilwinch.forward.reports import ServerReports
 from basilwinch.forward.selection import ServerSelection
@@ -90,6 +91,7 @@
         )
         finder = PathFinder(self.load, rng)
         self._selection = selection
+        self._members = MemberProbe(clock)
         self._reports = ServerReports(self._pool, dialect, clock)
         self._chains = WholeChains(self.load, rng)
         services = Services(
@@ -102,6 +104,7 @@
             finder,
             self._chains,
             PipeBudget(nodes, clock, rng),
+            self._members,
             self._reports,
         )
         self._forwarder = Forwarder(
@@ -235,4 +238,5 @@
             self._follower.set_nodes(self._peers.nodes)
             self.load.forget(self.view.servers)
             self._selection.forget(self.view.servers)
+            self._members.forget(self.view.servers)
             self._reports.forget(self.view.servers)
--- a/basilwinch/forward/reports.py
+++ b/basilwinch/forward/reports.py
@@ -6,6 +6,7 @@
 import trio
 
 from basilwinch.exception import SERVER_UNREACHABLE, Failure, ServerError
+from basilwinch.forward.shared import SharedAnswers
 
 __all__ = ["ServerReports"]
 
@@ -17,42 +18,22 @@
 class ServerReports:
     """Asks servers for their reports.
 
-    When a chain falls silent, all its streams ask at the same moment; they share one call.
-
     :param pool: connections to servers
     :param dialect: spelling of the question
     :param clock: function that returns the time in seconds
     """
 
-    __slots__ = ("_pool", "_dialect", "_clock", "_held", "_asking", "_log")
+    __slots__ = ("_pool", "_dialect", "_answers", "_log")
 
     def __init__(self, pool, dialect, clock):
         self._pool = pool
         self._dialect = dialect
-        self._clock = clock
-        self._held: dict[str, tuple[float, dict | Failure]] = {}
-        self._asking: dict[str, trio.Event] = {}
+        self._answers = SharedAnswers(_AGE_S, clock)
         self._log = structlog.get_logger("reports")
 
     async def ask(self, server) -> dict | Failure:
         """Return a server's report, or ``SERVER_UNREACHABLE``."""
-        while True:
-            asked_at, report = self._held.get(server.id, (float("-inf"), None))
-            if self._clock() - asked_at < _AGE_S:
-                return report
-            if server.id not in self._asking:
-                return await self._ask(server)
-            await self._asking[server.id].wait()
-
-    async def _ask(self, server) -> dict | Failure:
-        done = self._asking[server.id] = trio.Event()
-        try:
-            report = await self._call(server)
-            self._held[server.id] = (self._clock(), report)
-            return report
-        finally:
-            del self._asking[server.id]
-            done.set()
+        return await self._answers.get(server.id, lambda: self._call(server))
 
     async def _call(self, server) -> dict | Failure:
         connection = None
@@ -75,5 +56,4 @@
 
     def forget(self, known) -> None:
         """Drop servers that are gone."""
-        for server_id in [s for s in self._held if s not in known]:
-            del self._held[server_id]
+        self._answers.forget(known)
--- a/basilwinch/forward/services.py
+++ b/basilwinch/forward/services.py
@@ -19,6 +19,7 @@
     :param finder: :class:`~basilwinch.chains.path.PathFinder`
     :param chains: :class:`~basilwinch.chains.whole.WholeChains`
     :param pipe: :class:`~basilwinch.chains.pipe.PipeBudget`
+    :param members: :class:`~basilwinch.forward.members.MemberProbe`
     :param reports: :class:`~basilwinch.forward.reports.ServerReports`
     """
 
@@ -32,11 +33,14 @@
         "finder",
         "chains",
         "pipe",
+        "members",
         "reports",
         "freed",
     )
 
-    def __init__(self, view, pool, dialect, selection, budget, load, finder, chains, pipe, reports):
+    def __init__(
+        self, view, pool, dialect, selection, budget, load, finder, chains, pipe, members, reports
+    ):
         self.view = view
         self.pool = pool
         self.dialect = dialect
@@ -46,6 +50,7 @@
         self.finder = finder
         self.chains = chains
         self.pipe = pipe
+        self.members = members
         self.reports = reports
         self.freed = trio.Event()
 
