--- a/basilwinch/chains/load.py
+++ b/basilwinch/chains/load.py
@@ -5,7 +5,6 @@
 """
 
 import zlib
-from collections import deque
 
 import structlog
 
@@ -13,8 +12,6 @@
 
 _REPORT_INTERVALS = 4  # a report of another node counts for so many intervals; some get lost
 _LEAST_INTERVAL_S = 0.25
-_RARE_REPORTS_S = 0.5  # with reports less often, other nodes send several requests in between
-_DEMAND_WINDOW_S = 1.5  # about one report of each node in a large fleet; a burst is soon seen
 _SUSPECT_S = 1.0  # first time for which a server that failed is avoided; doubles up to the longest
 _LONGEST_SUSPECT_S = 4.0
 # One other node may be wrong about a server, as its own link may be at fault.
@@ -47,17 +44,13 @@
 
     :param shares: :class:`Share` by server mark
     :param avoided: seconds for which the node still avoids a server, by server mark
-    :param demand_per_s: paths that it looks for in a second
     """
 
-    __slots__ = ("shares", "avoided", "demand_per_s")
+    __slots__ = ("shares", "avoided")
 
-    def __init__(
-        self, shares: dict[int, Share], avoided: dict[int, float], demand_per_s: float = 0.0
-    ):
+    def __init__(self, shares: dict[int, Share], avoided: dict[int, float]):
         self.shares = shares
         self.avoided = avoided
-        self.demand_per_s = demand_per_s
 
 
 class FleetLoad:
@@ -78,8 +71,6 @@
         "_total_at",
         "_suspects",
         "_told",
-        "_demand",
-        "_remote_demand_per_s",
         "on_suspect",
         "_log",
     )
@@ -88,9 +79,7 @@
         self._clock = clock
         self.own: dict[str, Share] = {}
         self.interval_s = _LEAST_INTERVAL_S
-        self._remote: dict[str, tuple[float, NodeReport]] = {}
-        self._demand: deque[float] = deque()
-        self._remote_demand_per_s = 0.0
+        self._remote: dict[str, tuple[float, dict[int, Share]]] = {}
         self._total: dict[int, Share] = {}
         self._total_at = float("-inf")
         self._suspects: dict[str, tuple[float, float]] = {}
@@ -98,11 +87,6 @@
         self.on_suspect = None
         self._log = structlog.get_logger("load")
 
-    @property
-    def reports_rarely(self) -> bool:
-        """Whether other nodes send several requests unseen between two reports."""
-        return self.interval_s > _RARE_REPORTS_S
-
     def add(self, members, tokens: int) -> None:
         """Count a request at the members of its chain."""
         self._change(members, tokens, 1)
@@ -111,22 +95,6 @@
         """Count a request no longer."""
         self._change(members, tokens, -1)
 
-    def note_demand(self) -> None:
-        """Count a search for a path."""
-        self._demand.append(self._clock())
-
-    @property
-    def demand_per_s(self) -> float:
-        """Paths that all nodes look for in a second."""
-        self._refresh()
-        return self._own_demand_per_s() + self._remote_demand_per_s
-
-    def _own_demand_per_s(self) -> float:
-        start = self._clock() - _DEMAND_WINDOW_S
-        while self._demand and self._demand[0] < start:
-            self._demand.popleft()
-        return len(self._demand) / _DEMAND_WINDOW_S
-
     def _change(self, members, tokens: int, sign: int) -> None:
         for member in members:
             share = self.own.setdefault(member.server, Share())
@@ -142,14 +110,12 @@
         now = self._clock()
         left = {mark_server(s): until - now for s, (until, _) in self._suspects.items()}
         avoided = {mark: left_s for mark, left_s in left.items() if left_s > 0}
-        if len(avoided) > _TOLD_PART * servers:
-            avoided = {}
-        return NodeReport(shares, avoided, self._own_demand_per_s())
+        return NodeReport(shares, avoided if len(avoided) <= _TOLD_PART * servers else {})
 
     def take_report(self, node: str, report: NodeReport) -> None:
         """Take over what another node has sent to servers, and which servers it avoids."""
         now = self._clock()
-        self._remote[node] = (now, report)
+        self._remote[node] = (now, report.shares)
         self._total_at = float("-inf")
         for mark, left_s in report.avoided.items():
             until = now + min(left_s, _LONGEST_SUSPECT_S)
@@ -157,25 +123,21 @@
 
     def at(self, server_id: str) -> Share:
         """Return the load of a server over all nodes."""
-        self._refresh()
+        now = self._clock()
+        if now - self._total_at > self.interval_s:
+            self._sum_remote(now)
         own = self.own.get(server_id) or Share()
         remote = self._total.get(mark_server(server_id)) or Share()
         return Share(own.requests + remote.requests, own.token_layers + remote.token_layers)
 
-    def _refresh(self) -> None:
-        """Add up the reports of other nodes, once in an interval."""
-        now = self._clock()
-        if now - self._total_at <= self.interval_s:
-            return
+    def _sum_remote(self, now: float) -> None:
         self._total_at = now
         self._total = {}
-        self._remote_demand_per_s = 0.0
-        for node, (taken_at, report) in list(self._remote.items()):
+        for node, (taken_at, shares) in list(self._remote.items()):
             if now - taken_at > self.interval_s * _REPORT_INTERVALS:
                 del self._remote[node]
                 continue
-            self._remote_demand_per_s += report.demand_per_s
-            for mark, share in report.shares.items():
+            for mark, share in shares.items():
                 total = self._total.setdefault(mark, Share())
                 total.requests += share.requests
                 total.token_layers += share.token_layers
--- a/basilwinch/chains/path.py
+++ b/basilwinch/chains/path.py
@@ -14,7 +14,6 @@
 _CROSSING_MS = 4.0
 # Time that a further member costs per pass: the way to it and the wait for the start of its pass.
 _MEMBER_MS = 1.0
-_SPREAD = 3.0  # about the ratio of times between neighbouring kinds of cards
 _MOST_MEMBERS = 32  # the servers refuse longer paths
 
 
@@ -33,18 +32,13 @@
 class PathFinder:
     """Finds the path of least time over servers with room.
 
-    With rare reports the other nodes look for a path with the same load in view. Times are then
-    spread at random, so that not all of them take the same path.
-
     :param load: :class:`~basilwinch.chains.load.FleetLoad`
-    :param rng: random numbers
     """
 
-    __slots__ = ("_load", "_rng")
+    __slots__ = ("_load",)
 
-    def __init__(self, load, rng):
+    def __init__(self, load):
         self._load = load
-        self._rng = rng
 
     def find(self, servers, engine, tokens: int, prompt: int, avoid=frozenset(), across=True):
         """Return the best path, or None if no servers with room hold every layer.
@@ -64,9 +58,6 @@
         # A server without room for its whole range takes no part of it either: a path that left
         # such a server and came back would name it twice.
         stages = [s for s in self._stages(servers, engine, avoid) if s.room >= tokens * s.held]
-        if self._load.reports_rarely:
-            for stage in stages:
-                stage.weighted_ms *= self._rng.uniform(1.0, _SPREAD)
         cuts = {s.entry.layers[0] for s in stages} | {s.entry.layers[1] for s in stages}
         cuts = sorted(cut for cut in cuts if 0 <= cut <= engine.layers)
         if not cuts or cuts[0] != 0 or cuts[-1] != engine.layers:
@@ -143,7 +134,7 @@
 class Stage:
     """A server with its load, as a part of a path."""
 
-    __slots__ = ("entry", "held", "layer_ms", "weighted_ms", "read_layer_ms", "room", "requests")
+    __slots__ = ("entry", "held", "layer_ms", "weighted_ms", "read_layer_ms", "room")
 
     def __init__(self, entry, kind, engine, load):
         share = load.at(entry.id)
@@ -153,7 +144,6 @@
         sequence_ms = engine.sequence_ms + context_ms
         self.entry = entry
         self.held = held
-        self.requests = share.requests
         self.layer_ms = scale * (engine.step_ms + sequence_ms * (share.requests + 1))
         # A further request also slows down those that run there.
         self.weighted_ms = self.layer_ms + scale * sequence_ms * share.requests
--- a/basilwinch/entry/node.py
+++ b/basilwinch/entry/node.py
@@ -89,7 +89,7 @@
         budget = RetryBudget(
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s, nodes, clock
         )
-        finder = PathFinder(self.load, rng)
+        finder = PathFinder(self.load)
         self._selection = selection
         self._members = MemberProbe(clock)
         self._reports = ServerReports(self._pool, dialect, clock)
--- a/basilwinch/forward/services.py
+++ b/basilwinch/forward/services.py
@@ -6,6 +6,9 @@
 
 __all__ = ["Services"]
 
+# With reports less often than this, other nodes send several requests unseen between two of them.
+_RARE_REPORTS_S = 0.5
+
 
 class Services:
     """Shared parts of the forwarders.
@@ -69,13 +72,12 @@
     def find_path(self, context: Context, tokens: int, avoid, across: bool):
         """Return a path with room for a request, or None."""
         engine, prompt = context.service.engine, context.info.prompt_tokens
-        self.load.note_demand()
-        if self.load.reports_rarely:
+        if self.load.interval_s > _RARE_REPORTS_S:
             entries = self.view.servers
             name = context.service.name
-            offers = self.chains.find_offers(name, entries, engine, tokens, prompt, avoid, across)
-            if offers:
-                return self.chains.choose(offers)
+            choice = self.chains.find(name, entries, engine, tokens, prompt, avoid, across)
+            if choice is not None:
+                return choice
         return self.finder.find(self.servers(context), engine, tokens, prompt, avoid, across)
 
     def announce_room(self) -> None:
--- a/basilwinch/peers/codec.py
+++ b/basilwinch/peers/codec.py
@@ -23,9 +23,7 @@
     >>> node, sequence, report.shares[5].token_layers, report.avoided
     ('n1', 7, 800, {9: 0.5})
     """
-    message = _schema.LoadReport.new_message(
-        node=node, sequence=sequence, demandPerS=report.demand_per_s
-    )
+    message = _schema.LoadReport.new_message(node=node, sequence=sequence)
     rows = message.init("shares", len(report.shares))
     for row, (mark, share) in zip(rows, report.shares.items(), strict=True):
         row.server = mark
@@ -44,6 +42,6 @@
         message = _schema.LoadReport.from_bytes_packed(data)
         shares = {row.server: Share(row.requests, row.tokenLayers) for row in message.shares}
         avoided = {row.server: row.forMs / 1000 for row in message.avoided}
-        return message.node, message.sequence, NodeReport(shares, avoided, message.demandPerS)
+        return message.node, message.sequence, NodeReport(shares, avoided)
     except capnp.KjException as error:
         return MALFORMED_USAGE.because(str(error).splitlines()[0])
--- a/basilwinch/peers/schema.capnp
+++ b/basilwinch/peers/schema.capnp
@@ -7,7 +7,6 @@
   sequence @1 :UInt64;
   shares @2 :List(Share);
   avoided @3 :List(Avoided);
-  demandPerS @4 :Float32;
 
   struct Share {
     server @0 :UInt32;
