--- a/basilwinch/forward/members.py
+++ b/basilwinch/forward/members.py
@@ -9,8 +9,8 @@
 
 __all__ = ["MemberProbe"]
 
-# A refusal takes a round trip of under 2 ms. A server takes a millisecond for each new connection, so
-# that many nodes which try it at once wait longer: silence says nothing here.
+# A refusal takes a round trip of under 2 ms. A server takes a millisecond for each new connection,
+# so that many nodes which try it at once wait longer: silence says nothing here.
 _CONNECT_S = 0.1
 _AGE_S = 0.15  # as long as it takes until a chain is asked again
 
