--- a/basilwinch/chains/load.py
+++ b/basilwinch/chains/load.py
@@ -39,6 +39,10 @@
         self.token_layers = token_layers
 
 
+def _count_active(told: dict[str, float], now: float) -> int:
+    return sum(now < end for end in told.values())
+
+
 class NodeReport:
     """What a node tells the others.
 
@@ -118,8 +122,11 @@
         self._remote[node] = (now, report.shares)
         self._total_at = float("-inf")
         for mark, left_s in report.avoided.items():
-            until = now + min(left_s, _LONGEST_SUSPECT_S)
-            self._told.setdefault(mark, {})[node] = until
+            told = self._told.setdefault(mark, {})
+            before = _count_active(told, now)
+            told[node] = now + min(left_s, _LONGEST_SUSPECT_S)
+            if before < _WITNESSES <= _count_active(told, now):
+                self._log.info("server avoided on reports", mark=mark, nodes=sorted(told))
 
     def at(self, server_id: str) -> Share:
         """Return the load of a server over all nodes."""
@@ -151,7 +158,8 @@
         recent = now - until < _LONGEST_SUSPECT_S
         span = min(_LONGEST_SUSPECT_S, span * 2) if span and recent else _SUSPECT_S
         self._suspects[server_id] = (now + span, span)
-        self._log.info("server avoided", server=server_id, for_s=span, reason=reason)
+        mark = mark_server(server_id)
+        self._log.info("server avoided", server=server_id, mark=mark, for_s=span, reason=reason)
         if self.on_suspect is not None:
             self.on_suspect()
 
@@ -162,7 +170,7 @@
         if now < until:
             return True
         told = self._told.get(mark_server(server_id)) if self._told else None
-        return told is not None and sum(now < end for end in told.values()) >= _WITNESSES
+        return told is not None and _count_active(told, now) >= _WITNESSES
 
     def forget(self, known) -> None:
         """Drop what is held about servers that are gone, but for those that requests still use."""
