--- a/basilwinch/cli/commands/load.py
+++ b/basilwinch/cli/commands/load.py
@@ -1,12 +1,13 @@
 """``basilwinch load``: drives a running daemon over HTTP and reports latencies and errors."""
 
 import sys
+import urllib.parse
 
 from basilwinch.cli.arguments import add_setting, add_sub_command
 from basilwinch.exception import INVALID_SETTING, ConfigurationError
 from basilwinch.load import Caller, LoadConfig, LoadReporter, generate_load
 
-__all__ = ["add_parser", "run"]
+__all__ = ["add_parser", "read_target", "run"]
 
 MAX_CONNECTIONS = 4096
 
@@ -20,7 +21,9 @@
         run,
         "Exit codes: 0 every call was answered, 1 some failed.",
     )
-    add_setting(parser, "--target", "127.0.0.1:8080", "Address of the daemon.")
+    add_setting(
+        parser, "--target", "127.0.0.1:8080", "HOST:PORT or http URL of the daemon.", read_target
+    )
     add_setting(parser, "--keys", "", "API keys of organisations, with commas.")
     add_setting(parser, "--model", "lekha-bn", "Model of the completions.")
     add_setting(parser, "--rate", "10", "Calls a second.", float)
@@ -32,6 +35,21 @@
     add_setting(parser, "--seed", "1", "Seed of arrivals and choices.", int)
 
 
+def read_target(text: str) -> str:
+    """Return host:port of an address or URL.
+
+    :raises ValueError: for anything else, as a path or another scheme, which no call could use
+
+    >>> read_target("http://127.0.0.1:8080/"), read_target("localhost:8080")
+    ('127.0.0.1:8080', 'localhost:8080')
+    """
+    parts = urllib.parse.urlsplit(text if "://" in text else f"http://{text}")
+    rest = parts.path.strip("/") or parts.query or parts.fragment or parts.username
+    if parts.scheme != "http" or not parts.hostname or not parts.port or rest:
+        raise ValueError(text)
+    return parts.netloc
+
+
 async def run(args, context) -> int:
     """Run the sub-command."""
     keys = tuple(filter(None, map(str.strip, args.keys.split(","))))
--- a/basilwinch/cli/tests/test_program.py
+++ b/basilwinch/cli/tests/test_program.py
@@ -176,3 +176,18 @@
     trio.run(simulate)
     result = json.loads(capsys.readouterr().out)
     assert result["revision"] == 1 and list(result["nodes"].values()) == [1]
+
+
+@pytest.mark.parametrize("target", ["127.0.0.1:8080", "http://127.0.0.1:8080", "http://node-1:80/"])
+def test_load_takes_an_address_or_a_url(target):
+    """With a URL, each call failed with a connection error, as it was taken for a host's name."""
+    args = build_parser().parse_args(["load", "--target", target])
+    assert args.target == target.removeprefix("http://").rstrip("/")
+
+
+@pytest.mark.parametrize("target", ["127.0.0.1", "https://a:1", "http://a:1/v1", "a:b", ""])
+def test_load_refuses_other_targets_at_start(target, capsys):
+    with pytest.raises(SystemExit) as info:
+        build_parser().parse_args(["load", "--target", target])
+    assert info.value.code == 2
+    assert "--target" in capsys.readouterr().err
