--- a/basilwinch/platform/tests/standin.py
+++ b/basilwinch/platform/tests/standin.py
@@ -31,6 +31,16 @@
         self.headers: list[dict] = []
         self.faults: list[str] = []
         self.state = "ready"
+        self._scope = trio.CancelScope()
+
+    async def serve(self, handle, listeners) -> None:
+        """Serve until the server crashes."""
+        with self._scope:
+            await trio.serve_listeners(handle, listeners)
+
+    def crash(self) -> None:
+        """End all connections and refuse new ones; the entry in the store stays."""
+        self._scope.cancel()
 
     def entry(self) -> dict:
         fields = {
@@ -84,7 +94,7 @@
         async def answer(exchange):
             await self._answer_server(server, exchange)
 
-        nursery.start_soon(trio.serve_listeners, self._serve_with(answer), listeners)
+        nursery.start_soon(server.serve, self._serve_with(answer), listeners)
         self.register(server)
         return server
 
--- a/basilwinch/platform/tests/test_path.py
+++ b/basilwinch/platform/tests/test_path.py
@@ -284,6 +284,37 @@
     run_with(test)
 
 
+def test_stream_leaves_a_chain_whose_member_crashed_before_it_is_late(run_with):
+    """The chain's report showed the dead member after 300 ms; 250 ms make a stream late."""
+
+    async def test(site):
+        heads = [s for s in site.platform.servers if s.layers and s.layers[0] == 0]
+        tails = [s for s in site.platform.servers if s.layers and s.layers[0] == 4]
+        for head in heads:
+            head.faults = ["pause"]
+        first = []
+
+        async def crash_other_member():
+            await site.until(lambda: any(head.runs for head in heads))
+            first.extend(head for head in heads if head.runs)
+            hops = first[0].headers[0][b"x-hop-count"].decode()
+            next(t for t in tails if f":{t.port}=" in hops).crash()
+            for head in heads:
+                head.faults = []
+
+        site.nursery.start_soon(crash_other_member)
+        tokens = [(b"X-Token-Count", b"100,18")]
+        start = trio.current_time()
+        status, _, body = await site.call(
+            b"POST", b"/s/a", b"r1", b"{}", headers=tokens, deadline_ms=3000
+        )
+        assert _is_whole(status, body)
+        assert trio.current_time() - start < 0.5
+        assert sum(len(head.runs) for head in heads) == 2
+
+    run_with(test)
+
+
 def test_late_stream_is_counted_by_the_objective_that_it_missed(run_with, configuration):
     configuration["routes"][2]["gap-target-ms"] = 250
 
