Give each run of the process test ports of its own

Reproduced by two runs of the test at once: both failed; with ports of their own both pass. Ruled out: load, as the same commit passed beside it.

--- a/bench/processes.py
+++ b/bench/processes.py
@@ -4,6 +4,7 @@
 import json
 import os
 import pathlib
+import re
 import signal
 import socket
 import subprocess
@@ -13,12 +14,43 @@
 import urllib.error
 import urllib.request
 
-__all__ = ["Processes"]
+__all__ = ["Processes", "find_base_port"]
 
 READY_S = 60.0
 KEY = "example-key-bharat-press"
 
 
+# Below the ports that the system gives to outgoing connections, which begin at 32,768.
+FIRST_PORT, LAST_PORT = 12000, 32000
+PORTS = 128  # of one set of processes: the platform, nodes, servers, and peers from 100 on
+SERVERS_OFFSET = 10  # of the servers' ports, which the example numbers from 21001 on
+
+
+def find_base_port() -> int:
+    """Return the first of a range of free ports, another one for each process that asks.
+
+    Two runs on one machine, as of CI beside CI, must not meet each other's platform.
+
+    :raises TimeoutError: if no range is free
+    """
+    ranges = (LAST_PORT - FIRST_PORT) // PORTS
+    for attempt in range(ranges):
+        base = FIRST_PORT + (os.getpid() + attempt) % ranges * PORTS
+        if all(_is_free(base + offset) for offset in range(PORTS)):
+            return base
+    raise TimeoutError("no free ports")
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            sock.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+        return True
+
+
 class Processes:
     """Child processes of a benchmark or test, ended together.
 
@@ -41,6 +73,17 @@
         self._children[name] = subprocess.Popen(command, stdout=log, stderr=log, env=environ)
         log.close()
 
+    def write_note(self) -> str:
+        """Write the example's release note with servers on ports of this set; return its path."""
+        text = pathlib.Path("examples/first.toml").read_text()
+
+        def move(match: re.Match) -> str:
+            return f"127.0.0.1:{self._base + SERVERS_OFFSET + int(match[1])}"
+
+        path = self.folder / "note.toml"
+        path.write_text(re.sub(r"127\.0\.0\.1:21(\d{3})", move, text))
+        return str(path)
+
     def start_standins(self, note: str = "examples/first.toml") -> None:
         """Start the platform and all servers of a release note."""
         arguments = ("basilwinch.standin", "--platform", self.platform, "--note", note)
--- a/bench/tests/test_processes.py
+++ b/bench/tests/test_processes.py
@@ -6,16 +6,15 @@
 import trio
 
 from basilwinch.load import Caller, LoadConfig, LoadReporter, generate_load
-from bench.processes import KEY, Processes
+from bench.processes import KEY, Processes, find_base_port
 
-BASE_PORT = 18600
 MODEL = "lekha-small"
 
 
 @pytest.fixture
 def processes(tmp_path):
-    with Processes(tmp_path, BASE_PORT) as processes:
-        processes.start_standins()
+    with Processes(tmp_path, find_base_port()) as processes:
+        processes.start_standins(processes.write_note())
         yield processes
 
 
@@ -30,7 +29,7 @@
     """Guards against a node's death that harms callers of others, a restart that does not serve,
     and a stop that cuts streams."""
     first, second = processes.start_node(1), processes.start_node(2)
-    processes.publish()
+    processes.publish(processes.write_note())
     processes.wait_serving(first, MODEL)
     processes.wait_serving(second, MODEL)
     others, stopped, after = LoadReporter(), LoadReporter(), LoadReporter()
