Log how far a failed attempt of a stream had come, and the parts of its prompt

Cause: from the logs, requests that had just begun on a crashed server could not be told from those that had only been running there, and no line named the parts of a prompt. Change: the adapter reads the ids of all parts but the last from the prefix; a malformed or longer prefix than 64 entries names none. The line 'stream attempt failed' has these ids, the events that the attempt got and its duration.

--- a/basilwinch/forward/message.py
+++ b/basilwinch/forward/message.py
@@ -15,6 +15,8 @@
     :param max_output_tokens: maximum number of tokens of the response, 0 if unknown
     :param output_hint: the caller's estimate of the tokens of the response, or None
     :param last_event_id: id of the event after which the response resumes, or empty
+    :param shared_parts: ids of the parts of the prompt that other requests may share, in order;
+        empty if the request names none
     """
 
     __slots__ = (
@@ -25,6 +27,7 @@
         "max_output_tokens",
         "output_hint",
         "last_event_id",
+        "shared_parts",
     )
 
 
--- a/basilwinch/forward/stream.py
+++ b/basilwinch/forward/stream.py
@@ -68,6 +68,7 @@
         "_attempts",
         "_runs",
         "_next_path",
+        "_attempt_events",
         "_log",
     )
 
@@ -81,6 +82,7 @@
         self._attempts = 0
         self._runs = 0  # attempts in which the request may have run
         self._next_path = None  # path of the next attempt; its retry is already counted
+        self._attempt_events = 0  # new events of the current attempt
         self._log = structlog.get_logger("stream")
 
     async def run(self) -> Answered | Failure | None:
@@ -91,6 +93,8 @@
             if isinstance(path, Failure):
                 return self._finalize_failure(path if failure is None else failure)
             self._attempts += 1
+            self._attempt_events = 0
+            attempt_started = trio.current_time()
             outcome = await self._attempt(path)
             if outcome is None or isinstance(outcome, Answered):
                 return outcome
@@ -100,6 +104,9 @@
                 head=path.members[0].server,
                 reason=outcome.reason,
                 last_id=self._last_id,
+                attempt_events=self._attempt_events,
+                attempt_ms=round((trio.current_time() - attempt_started) * 1000, 1),
+                parts=context.info.shared_parts,
             )
             if isinstance(outcome, OutcomeUnknown):
                 self._runs += 1
@@ -294,6 +301,7 @@
             if isinstance(events, OutcomeUnknown):
                 self._avoid.add(path.members[0].server)
                 return events
+            self._attempt_events += len(events)
             if events:
                 await self._send_events(response, b"".join(events))
                 detector.prefilling = False
--- a/basilwinch/platform/dialect.py
+++ b/basilwinch/platform/dialect.py
@@ -1,6 +1,7 @@
 """HTTP dialect of the platform: header fields, layer orders and server reports."""
 
 import json
+import re
 
 from basilwinch.forward.message import CallerRequest, ServerLoad
 
@@ -35,6 +36,10 @@
     )
 )
 
+# An entry of X-Prompt-Prefix: a hexadecimal id of at most 64 digits, and a number of tokens.
+_PROMPT_PART = re.compile(rb"\s*([0-9A-Fa-f]{1,64}):[0-9]{1,9}\s*")
+_MAX_PROMPT_PARTS = 64  # a longer prefix is ignored, so that state per request stays small
+
 
 class Dialect:
     """Parses and builds HTTP messages in the format of the platform."""
@@ -57,6 +62,7 @@
             max_output_tokens=output,
             output_hint=hint,
             last_event_id=headers.get(b"last-event-id", b""),
+            shared_parts=_parse_shared_parts(headers.get(b"x-prompt-prefix", b"")),
         )
 
     def build_header(
@@ -193,6 +199,24 @@
     return int(text) if text.isdigit() else None
 
 
+def _parse_shared_parts(text: bytes) -> tuple[str, ...]:
+    """Return the ids of all parts of a prompt but the last, or none if the prefix is malformed.
+
+    The last part belongs to the request itself. Ids are compared as numbers, so the case of their
+    digits and leading zeros do not matter.
+
+    >>> _parse_shared_parts(b"5C1E07a2:800,0:410,e4402b7d:250")
+    ('5c1e07a2', '0')
+    """
+    if not text:
+        return ()
+    matches = [_PROMPT_PART.fullmatch(entry) for entry in text.split(b",", _MAX_PROMPT_PARTS)]
+    if None in matches:
+        return ()
+    ids = [match[1].decode().lower().lstrip("0") or "0" for match in matches[:-1]]
+    return tuple(dict.fromkeys(ids))
+
+
 def _parse_number_pair(text: bytes) -> tuple[int, int]:
     """Return two numbers separated by a comma, or zeros if malformed."""
     parts = [_parse_number(part) for part in text.split(b",")]
