Move crash attribution into a package without I/O

Cause: the registry of suspects slept inside its decisions and belonged to the relay, so the node of the users' platform, which has no relay, could not use it. Change: basilwinch/suspicion holds evidence, registry, settings and the payload between nodes; the registry returns IsolationClaim or IsolationWait, and relay/isolation.py does the waiting. Behaviour is unchanged.

--- a/basilwinch/daemon/cluster.py
+++ b/basilwinch/daemon/cluster.py
@@ -8,7 +8,7 @@
 
 from basilwinch.admission import UsageExchange
 from basilwinch.daemon.core import NodeCore
-from basilwinch.daemon.exchange import LeavingExchange, ReachabilityExchange, SuspectExchange
+from basilwinch.daemon.exchange import LeavingExchange, ReachabilityExchange
 from basilwinch.exception import INVALID_SETTING, ConfigurationError, Failure
 from basilwinch.membership import (
     Keyring,
@@ -22,6 +22,7 @@
 from basilwinch.release import Follower, FollowerConfig
 from basilwinch.settings import Settings
 from basilwinch.store import KeyValueStore
+from basilwinch.suspicion import SuspectExchange
 
 __all__ = ["build_follower", "build_membership", "connect_exchanges", "track_members"]
 
--- a/basilwinch/daemon/core.py
+++ b/basilwinch/daemon/core.py
@@ -16,10 +16,11 @@
 from basilwinch.pipeline import Placement
 from basilwinch.placement import read_placements
 from basilwinch.record import Record
-from basilwinch.relay import Relay, RelayConfig, SuspectConfig, SuspectRegistry
+from basilwinch.relay import Relay, RelayConfig
 from basilwinch.release import Replica
 from basilwinch.routing import ChainRouter, RoutingConfig
 from basilwinch.service import ServiceDispatcher
+from basilwinch.suspicion import SuspectConfig, SuspectRegistry
 
 __all__ = ["CoreConfig", "ExternalSystems", "NodeCore"]
 
--- a/basilwinch/daemon/exchange.py
+++ b/basilwinch/daemon/exchange.py
@@ -1,22 +1,15 @@
-"""Payloads between nodes: suspects, leaving servers and reachability of the platform."""
+"""Payloads between nodes: leaving servers and reachability of the platform."""
 
-import math
 from collections.abc import Callable
 
 import trio
 
-from basilwinch.exception import MALFORMED_PACKET, Failure, ProtocolError
+from basilwinch.exception import MALFORMED_PACKET, Failure
 from basilwinch.order import OrderRunner
-from basilwinch.relay import SuspectRegistry
 from basilwinch.routing import ChainRouter
 
-__all__ = ["LeavingExchange", "ReachabilityExchange", "SuspectExchange"]
+__all__ = ["LeavingExchange", "ReachabilityExchange"]
 
-MAX_SUSPECTS_PER_MESSAGE = 8
-# Time after a change during which each message carries the suspects.
-SUSPECT_RESEND_PERIOD_S = 5.0
-# After that period, only one message in this many carries the suspects, for nodes that start later.
-SUSPECT_RESEND_INTERVAL_MESSAGES = 16
 # Gossip reaches all nodes well within this time; later a node learns of a leaving server from the
 # catalog or the list of VMs.
 LEAVING_RESEND_PERIOD_S = 20.0
@@ -27,87 +20,6 @@
 REACHABILITY_RETENTION_S = 600.0
 
 
-class SuspectExchange:
-    """Exchanges suspect requests between nodes.
-
-    :param suspects: registry of suspects on this node
-    """
-
-    __slots__ = ("_suspects", "_known_evidence", "_changed_at", "_unchanged_messages")
-
-    kind = 1
-    # An entry takes about 150 bytes; on most days there are none. After a crash three peers must
-    # get the entry at once, and again after a second crash half a second later, because the caller
-    # may repeat the request right after its response. At 800 bytes/s the second entry was delayed.
-    bytes_per_s = 2400.0
-
-    def __init__(self, suspects: SuspectRegistry):
-        self._suspects = suspects
-        self._known_evidence: set = set()
-        self._changed_at = -math.inf
-        self._unchanged_messages = 0
-
-    def export(self, limit: int, now: float) -> bytes:
-        """Return the most severe suspects that fit into ``limit`` bytes, empty for none.
-
-        At most ``MAX_SUSPECTS_PER_MESSAGE`` are returned. Once ``SUSPECT_RESEND_PERIOD_S`` have
-        passed since the last change, only one of ``SUSPECT_RESEND_INTERVAL_MESSAGES`` messages
-        carries them. Sorts all entries of the registry: O(n log n).
-        """
-        self.refresh(now)
-        if now - self._changed_at > SUSPECT_RESEND_PERIOD_S:
-            self._unchanged_messages = (
-                self._unchanged_messages + 1
-            ) % SUSPECT_RESEND_INTERVAL_MESSAGES
-            if self._unchanged_messages:
-                return b""
-        data = b""
-        for count in range(1, MAX_SUSPECTS_PER_MESSAGE + 1):
-            longer = self._suspects.export_bytes(now, count)
-            if len(longer) > limit or len(longer) == len(data):
-                break
-            data = longer
-        return data
-
-    def merge(self, node: str, data: bytes, now: float) -> bool | Failure:
-        """Merge the suspects of another node.
-
-        :returns: True if the evidence on likely suspects changed, which is then passed on at once
-        """
-        try:
-            self._suspects.merge_bytes(data, now)
-        except ProtocolError as error:
-            return error.failure
-        return self.refresh(now)
-
-    def refresh(self, now: float) -> bool:
-        """Read the registry; returns whether the evidence on likely suspects has changed.
-
-        The evidence is compared with that of the last call.
-        """
-        known = _list_evidence(self._suspects.list_entries(now))
-        if known == self._known_evidence:
-            return False
-        self._known_evidence = known
-        self._changed_at = now
-        return True
-
-
-def _list_evidence(entries) -> set:
-    """Return the strikes, clearings and tests of likely suspects, without times, which differ
-    between nodes.
-
-    Entries without a strong strike are left out: their requests only ran on the same server as a
-    likely cause. They do not count as a change and are sent when a message next carries suspects.
-    """
-    entries = [entry for entry in entries if any(strike.strong for strike in entry.strikes)]
-    return {
-        (entry.digest, strike.id, strike.id in entry.cleared)
-        for entry in entries
-        for strike in entry.strikes
-    } | {(entry.digest, test[0], test[1], test[2] > 0) for entry in entries for test in entry.tests}
-
-
 class LeavingExchange:
     """Tells the other nodes which servers refuse new requests because they are leaving.
 
--- a/basilwinch/relay/__init__.py
+++ b/basilwinch/relay/__init__.py
@@ -1,11 +1,10 @@
-"""Runs model requests with retries and attributes server crashes to requests."""
+"""Runs model requests with retries."""
 
 from basilwinch.relay.budget import RetryBudget, draw_backoff
 from basilwinch.relay.relay import Relay
 from basilwinch.relay.request import ModelRequest, RelayConfig, count_prompt_tokens
 from basilwinch.relay.resume import ResumeKind, ResumePlan, choose_resume
 from basilwinch.relay.stall import GapEstimate
-from basilwinch.relay.suspect import SuspectConfig, SuspectEntry, SuspectRegistry, digest_request
 
 __all__ = [
     "GapEstimate",
@@ -15,11 +14,7 @@
     "ResumeKind",
     "ResumePlan",
     "RetryBudget",
-    "SuspectConfig",
-    "SuspectEntry",
-    "SuspectRegistry",
     "choose_resume",
     "count_prompt_tokens",
-    "digest_request",
     "draw_backoff",
 ]
--- a/basilwinch/relay/relay.py
+++ b/basilwinch/relay/relay.py
@@ -11,8 +11,8 @@
 from basilwinch.relay.budget import RetryBudget
 from basilwinch.relay.request import ModelRequest, RelayConfig
 from basilwinch.relay.run import Run
-from basilwinch.relay.suspect import SuspectRegistry
 from basilwinch.server import EngineClient
+from basilwinch.suspicion import SuspectRegistry
 
 __all__ = ["Relay"]
 
--- a/basilwinch/relay/run.py
+++ b/basilwinch/relay/run.py
@@ -22,12 +22,13 @@
 from basilwinch.pipeline import Chain, FrameChecker, TokenFrame
 from basilwinch.relay.attempt import Attempt
 from basilwinch.relay.budget import draw_backoff
+from basilwinch.relay.isolation import await_isolation
 from basilwinch.relay.request import ModelRequest, count_prompt_tokens
 from basilwinch.relay.resume import ResumeKind, choose_resume, import_kv
 from basilwinch.relay.stall import GapEstimate
-from basilwinch.relay.suspect import digest_request
 from basilwinch.routing import RouteChoice, RouteRequest
 from basilwinch.server import EngineCall
+from basilwinch.suspicion import digest_request
 
 __all__ = ["Run"]
 
@@ -107,8 +108,12 @@
     async def _start_attempt(self) -> None:
         """Choose a chain and start the next attempt, without waiting for the engine."""
         relay, request = self._relay, self._request
-        isolated = await relay.suspects.check_isolation(
-            self._digest, self._run_id, self._attempt_count > 0, self._remaining_s
+        isolated = await await_isolation(
+            relay.suspects,
+            self._digest,
+            self._run_id,
+            self._attempt_count > 0,
+            self._remaining_s,
         )
         if isinstance(isolated, Failure):
             relay.log.record("attempt", "refused", isolated.reason, request=request.request)
--- a/basilwinch/relay/tests/conftest.py
+++ b/basilwinch/relay/tests/conftest.py
@@ -8,9 +8,10 @@
 from basilwinch.catalog import Catalog, Model, Server, Service
 from basilwinch.observability import DecisionLog
 from basilwinch.pipeline import Placement, Stage
-from basilwinch.relay import ModelRequest, Relay, RelayConfig, SuspectConfig, SuspectRegistry
+from basilwinch.relay import ModelRequest, Relay, RelayConfig
 from basilwinch.routing import ChainRouter, RoutingConfig
 from basilwinch.standin import DirectClient, EngineSettings, StandinEngines, expected_tokens
+from basilwinch.suspicion import SuspectConfig, SuspectRegistry
 
 LAYERS = 8
 
--- /dev/null
+++ b/basilwinch/suspicion/__init__.py
@@ -0,0 +1,22 @@
+"""Attribution of server crashes to requests, without I/O."""
+
+from basilwinch.suspicion.evidence import SuspectEntry, digest_request
+from basilwinch.suspicion.exchange import SuspectExchange
+from basilwinch.suspicion.registry import (
+    IsolationClaim,
+    IsolationWait,
+    NextAttempt,
+    SuspectRegistry,
+)
+from basilwinch.suspicion.settings import SuspectConfig
+
+__all__ = [
+    "IsolationClaim",
+    "IsolationWait",
+    "NextAttempt",
+    "SuspectConfig",
+    "SuspectEntry",
+    "SuspectExchange",
+    "SuspectRegistry",
+    "digest_request",
+]
--- a/basilwinch/relay/suspect.py
+++ b/basilwinch/suspicion/registry.py
@@ -1,24 +1,22 @@
-"""Registry of requests that may have crashed servers."""
+"""Registry of requests that may have crashed servers, without I/O."""
 
 import math
 from collections import deque
 
-import trio
-
 from basilwinch.exception import REQUEST_QUARANTINED, Failure
 from basilwinch.observability import DecisionLog
-from basilwinch.relay.evidence import (
+from basilwinch.record import Record
+from basilwinch.suspicion.evidence import (
     Evidence,
     Loss,
     Strike,
     SuspectEntry,
-    digest_request,
     pack,
     unpack,
 )
-from basilwinch.relay.settings import SuspectConfig
+from basilwinch.suspicion.settings import SuspectConfig
 
-__all__ = ["SuspectConfig", "SuspectEntry", "SuspectRegistry", "digest_request"]
+__all__ = ["IsolationClaim", "IsolationWait", "NextAttempt", "SuspectRegistry"]
 
 _POLL_INTERVAL_S = 0.02
 # After this many frames a request is no longer a likely cause of a crash: crashes occur during the
@@ -32,6 +30,29 @@
 _RECENT_FRAME_S = 1.0
 
 
+class IsolationClaim(Record):
+    """This node has claimed the isolation; it is confirmed after ``delay_s`` seconds."""
+
+    __slots__ = ("delay_s",)
+
+
+class IsolationWait(Record):
+    """Whether the attempt must be isolated can be asked again after ``delay_s`` seconds."""
+
+    __slots__ = ("delay_s",)
+
+
+class NextAttempt(Record):
+    """The attempt for which isolation is checked.
+
+    :param retry: whether an earlier attempt of its run has failed
+    :param asked_at: time of the first check, in seconds
+    :param remaining_s: seconds left for the request
+    """
+
+    __slots__ = ("retry", "asked_at", "remaining_s")
+
+
 class _RunningAttempt:
     """An attempt in progress on this node."""
 
@@ -127,47 +148,57 @@
 
     # Attempts of a request.
 
-    async def check_isolation(
-        self, digest: str, run_id: str, retry: bool, remaining
-    ) -> bool | Failure:
-        """Return whether the next attempt must be isolated, or the failure of a refused request.
-
-        It waits for the end of another isolation of the same request, and for a free slot.
+    def check_isolation(self, digest: str, run_id: str, attempt: "NextAttempt", now: float):
+        """Return whether the next attempt of a request must be isolated.
 
         :param digest: digest of the request
         :param run_id: id of this run of the request, unique on the node
-        :param retry: whether an earlier attempt of this run has failed
-        :param remaining: function that returns the seconds left for the request
+        :param attempt: :class:`NextAttempt`
+        :returns: False if it runs like any other, ``IsolationClaim`` once it may be isolated,
+            ``IsolationWait`` if that is to be asked again later, or the failure of a refused
+            request
         """
-        config, wait_started = self._config, trio.current_time()
-        while True:
-            now = trio.current_time()
-            evidence = self._evidence.get(digest)
-            if evidence is None or now >= evidence.until:
-                return False
-            if evidence.is_convicted():
-                refuse_at = evidence.convicted_at + config.refusal_delay_s
-                if now >= refuse_at:
-                    return self._quarantine_failure(digest, evidence, now)
-                await trio.sleep(refuse_at - now)
-                continue
-            if not evidence.needs_isolation(resent=not retry) or remaining() <= 0:
-                return False
-            isolation_active = evidence.isolating_node(now) or digest in self._isolations.values()
-            if not isolation_active and len(self._isolations) < config.isolation_slots:
-                if await self._claim_isolation(digest, run_id, evidence):
-                    return True
-                continue
-            must_isolate = isolation_active or len(evidence.active_strikes()) >= 2 or not retry
-            if not must_isolate and now - wait_started >= config.isolation_slot_wait_s:
-                self._log.record(
-                    "suspect",
-                    "not_isolated",
-                    f"no free isolation slot within {config.isolation_slot_wait_s:g} s",
-                    request=run_id,
-                )
-                return False
-            await trio.sleep(_POLL_INTERVAL_S)
+        config = self._config
+        evidence = self._evidence.get(digest)
+        if evidence is None or now >= evidence.until:
+            return False
+        if evidence.is_convicted():
+            refuse_at = evidence.convicted_at + config.refusal_delay_s
+            if now >= refuse_at:
+                return self._quarantine_failure(digest, evidence, now)
+            return IsolationWait(refuse_at - now)
+        if not evidence.needs_isolation(resent=not attempt.retry) or attempt.remaining_s <= 0:
+            return False
+        isolation_active = evidence.isolating_node(now) or digest in self._isolations.values()
+        if not isolation_active and len(self._isolations) < config.isolation_slots:
+            evidence.begin_isolation(config.node, now + config.isolation_timeout_s)
+            self._isolations[run_id] = digest
+            self._notify_change()
+            return IsolationClaim(config.claim_delay_s)
+        must_isolate = isolation_active or len(evidence.active_strikes()) >= 2 or not attempt.retry
+        if not must_isolate and now - attempt.asked_at >= config.isolation_slot_wait_s:
+            self._log.record(
+                "suspect",
+                "not_isolated",
+                f"no free isolation slot within {config.isolation_slot_wait_s:g} s",
+                request=run_id,
+            )
+            return False
+        return IsolationWait(_POLL_INTERVAL_S)
+
+    def confirm_claim(self, digest: str, run_id: str, now: float) -> bool:
+        """Return whether this node may start the isolated attempt that it claimed.
+
+        Call it after the delay of the claim, in which claims of other nodes arrive.
+        """
+        evidence = self._get_or_create_evidence(digest, now)
+        if evidence.isolating_node(now) == self._config.node and not evidence.is_convicted():
+            self._log.record(
+                "suspect", "isolated", "suspect runs without other requests", request=run_id
+            )
+            return True
+        self.release_claim(digest, run_id)
+        return False
 
     def begin_attempt(self, digest: str, run_id: str, servers, isolated: bool, now: float) -> None:
         """Count an attempt in progress; announce an isolated one to the other nodes."""
@@ -188,12 +219,12 @@
         running.frame_at = now
         if running.frame_count == _PROGRESS_FRAMES:
             running.isolated = False
-            self._end_isolation(digest, run_id)
+            self.release_claim(digest, run_id)
 
     def end_attempt(self, digest: str, run_id: str) -> None:
         """Stop counting an attempt, and end its isolation."""
         self._running.pop(run_id, None)
-        self._end_isolation(digest, run_id)
+        self.release_claim(digest, run_id)
 
     def clear(self, digest: str, now: float) -> None:
         """Clear the strikes of a request that finished, unless it is convicted."""
@@ -345,27 +376,8 @@
             digest=digest,
         )
 
-    async def _claim_isolation(self, digest: str, run_id: str, evidence: Evidence) -> bool:
-        node = self._config.node
-        evidence.begin_isolation(node, trio.current_time() + self._config.isolation_timeout_s)
-        self._isolations[run_id] = digest
-        self._notify_change()
-        try:
-            await trio.sleep(self._config.claim_delay_s)
-        except BaseException:
-            # Release the claim also on cancellation; otherwise other nodes wait for it until
-            # it times out.
-            self._end_isolation(digest, run_id)
-            raise
-        if evidence.isolating_node(trio.current_time()) == node and not evidence.is_convicted():
-            self._log.record(
-                "suspect", "isolated", "suspect runs without other requests", request=run_id
-            )
-            return True
-        self._end_isolation(digest, run_id)
-        return False
-
-    def _end_isolation(self, digest: str, run_id: str) -> None:
+    def release_claim(self, digest: str, run_id: str) -> None:
+        """End the claim or the isolation of a run, if it has one."""
         if self._isolations.pop(run_id, None) is None:
             return
         evidence = self._evidence.get(digest)
--- a/bench/recovery_fleet.py
+++ b/bench/recovery_fleet.py
@@ -8,10 +8,11 @@
 from basilwinch.exception import RETRIES_EXHAUSTED, BasilwinchError
 from basilwinch.history import Answered, History, Invoked, Outcome
 from basilwinch.observability import DecisionLog
-from basilwinch.relay import ModelRequest, Relay, RelayConfig, SuspectConfig, SuspectRegistry
+from basilwinch.relay import ModelRequest, Relay, RelayConfig
 from basilwinch.routing import ChainRouter, RouteRequest, RoutingConfig
 from basilwinch.server import EngineCall
 from basilwinch.standin import CallbackScheduler, DirectClient, StandinEngines, expected_tokens
+from basilwinch.suspicion import SuspectConfig, SuspectRegistry
 from bench.fleet import ENGINE_SETTINGS, MODEL, ZONES, make_catalog, make_equal_split, make_network
 
 __all__ = ["ModelFleet", "SimpleRelay"]
