--- a/basilwinch/platform/tests/standin.py
+++ b/basilwinch/platform/tests/standin.py
@@ -22,7 +22,8 @@
 
     Faults: ``full`` (503, not run), ``mute`` (no answer), ``reset`` (run, then the connection is
     reset), ``error`` (500), and in a stream ``pause`` (silence after event 3) and ``cut`` (reset
-    within event 4).
+    within event 4). A server crashes on the first event of any stream whose prompt contains one of
+    ``crashing_parts``.
     """
 
     def __init__(self, server_id, service, port, kind=None):
@@ -35,6 +36,7 @@
         self.runs: list[bytes] = []
         self.headers: list[dict] = []
         self.faults: list[str] = []
+        self.crashing_parts: set[bytes] = set()
         self.state = "ready"
         self._scope = trio.CancelScope()
 
@@ -47,6 +49,15 @@
         """End all connections and refuse new ones; the entry in the store stays."""
         self._scope.cancel()
 
+    @property
+    def has_crashed(self) -> bool:
+        return self._scope.cancel_called
+
+    def crashes_on(self, headers: dict) -> bool:
+        """Return whether a request with these headers crashes the server."""
+        entries = headers.get(b"x-prompt-prefix", b"").split(b",")
+        return any(entry.partition(b":")[0] in self.crashing_parts for entry in entries)
+
     def entry(self) -> dict:
         fields = {
             "service": self.service,
@@ -267,11 +278,15 @@
         elif server.kind is None:
             await exchange.respond(200, header, b"done by " + server.id.encode())
         else:
-            await self._stream(exchange, header, fault)
+            await self._stream(server, exchange, header, fault)
 
-    async def _stream(self, exchange, header, fault) -> None:
+    async def _stream(self, server, exchange, header, fault) -> None:
         start = int(exchange.headers.get(b"last-event-id", b"0")) + 1
         await exchange.start(200, header)
+        if server.crashes_on(exchange.headers):
+            await trio.sleep(_EVENT_INTERVAL_S)
+            server.crash()
+            await trio.sleep_forever()
         for number in range(start, _EVENTS_PER_STREAM + 1):
             await trio.sleep(_EVENT_INTERVAL_S)
             await exchange.send(b"id: %d\ndata: token\n\n" % number)
--- /dev/null
+++ b/basilwinch/platform/tests/test_crashes.py
@@ -0,0 +1,47 @@
+"""End-to-end tests of prompts with a part that crashes each server that writes on it."""
+
+import pytest
+import trio
+
+from basilwinch.exception import ServerError
+
+CRASHING_PART = b"dead0001"
+
+
+@pytest.fixture
+def send():
+    """Return a function that sends a stream request with the given parts of its prompt."""
+
+    async def send_stream(site, number, *shared_parts):
+        parts = [*shared_parts, b"%x" % (0x100 + number)]
+        headers = [
+            (b"X-Token-Count", b"100,18"),
+            (b"X-Prompt-Prefix", b",".join(part + b":40" for part in parts)),
+        ]
+        try:
+            status, _, body = await site.call(
+                b"POST", b"/s/a", b"r%d" % number, b"body %d" % number, headers=headers
+            )
+        except ServerError:
+            return None
+        return status if body else -status
+
+    return send_stream
+
+
+def test_requests_with_a_crashing_part_cost_two_servers_at_most(run_with, send):
+    """Guards against a part of a prompt that crashes chain after chain in different requests."""
+
+    async def test(site):
+        for server in site.platform.servers:
+            server.crashing_parts = {CRASHING_PART}
+        for number in range(6):
+            assert await send(site, number, b"f%d" % (number % 3)) == 200
+        for number in range(10, 22):
+            await send(site, number, b"f%d" % (number % 3), CRASHING_PART)
+            await trio.sleep(0.1)
+        assert sum(server.has_crashed for server in site.platform.servers) <= 2
+        sound = [await send(site, number, b"f%d" % (number % 3)) for number in range(30, 36)]
+        assert sound == [200] * 6
+
+    run_with(test, chains=5)
