Attribute server crashes to parts of prompts on all nodes

Callers saw streams broken off and most requests refused: a part of a prompt crashed each server that began to write on it, and new requests with it kept coming. Cause: no node connected a crash with the requests that had just begun on the server. A request was resumed on a second chain, its caller sent it again, and the next one with the part did the same. The class of fault: what one node learns from a failure is lost when the request ends. Change: the node registers its attempts with basilwinch/suspicion, the package that decides for the product's own node. If a server that broke off refuses connections, the requests with fewer than two events on it, and all shared parts of their prompts, get a strike. Nodes that know a request with the part that made progress vouch for it; an unknown part with a strike is refused on all nodes, with Retry-After, until the node that saw the crash tries one request; a second crash convicts it for ten minutes, progress clears it. Evidence goes to all peers at once in the datagram of the load reports. Entries of peers are checked and bounded.

--- a/basilwinch/entry/node.py
+++ b/basilwinch/entry/node.py
@@ -15,6 +15,7 @@
 from basilwinch.exception import DRAINING
 from basilwinch.forward.budget import RetryBudget
 from basilwinch.forward.components import Components
+from basilwinch.forward.crashes import FIRST_EVENTS, CrashAttribution
 from basilwinch.forward.forwarder import OTHER_NODE_RETRY_AFTER_S, Forwarder
 from basilwinch.forward.members import MemberProbe
 from basilwinch.forward.plain import PlainForwarder
@@ -22,7 +23,9 @@
 from basilwinch.forward.selection import ServerSelection
 from basilwinch.forward.stream import StreamForwarder
 from basilwinch.lease import LeaseConfig, LeaseHolder
+from basilwinch.observability import DecisionLog
 from basilwinch.peers.exchange import NODES_PREFIX, PeerExchange
+from basilwinch.suspicion import SuspectConfig, SuspectExchange, SuspectRegistry
 from basilwinch.view import CallerLimits, View, read_boot_clock
 from basilwinch.view.shared_watch import SharedWatchStore
 from basilwinch.view.watcher import StoreWatcher, ViewSource
@@ -30,6 +33,14 @@
 
 __all__ = ["EntryNode"]
 
+# Requests of this node on a crashed server that had not begun to write count as suspects, at most
+# this many; more than that wait in the server's queue only under overload.
+_MAX_SUSPECTS_PER_CRASH = 16
+_MAX_PREFILL_S = 10.0  # a request that waits longer for its first event is queued, not running
+_MIN_CRASH_AGE_S = 0.005  # a server that was dead before resets a connection within a round trip
+_SAME_EVENT_S = 0.25  # nodes notice the loss of a rack within this time of each other
+_MAX_SUSPECTS_PER_REPORT = 32  # about 150 bytes each, in a datagram of at most 64 KB
+
 # A round trip takes under 2 ms. A lost packet is sent again after 1 s, too late to wait for it.
 _CONNECT_TIMEOUT_S = 0.4
 _IDLE_TIMEOUT_S = 4.0  # of connections to servers, which close idle ones after a few seconds
@@ -85,15 +96,29 @@
             clock, _CONNECT_TIMEOUT_S, _IDLE_TIMEOUT_S, _MAX_IDLE_CONNECTIONS
         )
         self._store = SharedWatchStore(store)
+        self._suspects = SuspectRegistry(
+            SuspectConfig(
+                settings.name,
+                progress_frames=FIRST_EVENTS,
+                weak_strikes=False,
+                max_strong_strikes=_MAX_SUSPECTS_PER_CRASH,
+                strong_max_age_s=_MAX_PREFILL_S,
+                event_s=_SAME_EVENT_S,
+                min_attempt_age_s=_MIN_CRASH_AGE_S,
+            ),
+            DecisionLog(self.metrics.registry),
+        )
         self._peers = PeerExchange(
             settings.name,
             settings.ip,
             settings.peer_port,
             self._store,
             self.load,
+            SuspectExchange(self._suspects, _MAX_SUSPECTS_PER_REPORT),
             lambda: len(self.view.servers),
             rng,
         )
+        self._suspects.on_change = self._peers.notify_suspects_changed
         self._store_watcher = StoreWatcher(source, self.view, rng, read_boot_clock)
         self._store_watcher.on_key = self._apply_key
         selection = ServerSelection(settings.zone, clock, rng)
@@ -106,6 +131,7 @@
         self._member_probe = MemberProbe(clock)
         self._server_reports = ServerReports(self._pool, dialect, clock)
         self._chain_selection = ChainSelection(self.load, rng)
+        self._crash_attribution = CrashAttribution(self._suspects, MemberProbe(clock))
         components = Components(
             self.view,
             self._pool,
@@ -118,6 +144,7 @@
             ZoneLinkBudget(nodes, clock, rng),
             self._member_probe,
             self._server_reports,
+            self._crash_attribution,
         )
         self._forwarder = Forwarder(
             components,
@@ -262,3 +289,4 @@
             self._server_selection.prune(self.view.servers)
             self._member_probe.prune(self.view.servers)
             self._server_reports.prune(self.view.servers)
+            self._crash_attribution.prune(self.view.servers)
--- a/basilwinch/exception.py
+++ b/basilwinch/exception.py
@@ -162,6 +162,12 @@
 REQUEST_QUARANTINED = FailureKind(
     "request_quarantined", 422, "The request is refused for a time because it crashed servers."
 )
+CRASH_SUSPECT = FailureKind(
+    "crash_suspect",
+    503,
+    "The request, or a part of its prompt, may crash servers and is refused for a time.",
+    True,
+)
 
 # Token frames.
 WRONG_REQUEST = FailureKind("wrong_request", 502, "A frame belongs to another request.")
--- a/basilwinch/forward/components.py
+++ b/basilwinch/forward/components.py
@@ -27,6 +27,7 @@
     :param zone_link_budget: :class:`~basilwinch.chains.zone_link.ZoneLinkBudget`
     :param member_probe: :class:`~basilwinch.forward.members.MemberProbe`
     :param server_reports: :class:`~basilwinch.forward.reports.ServerReports`
+    :param crash_attribution: :class:`~basilwinch.forward.crashes.CrashAttribution`
     """
 
     __slots__ = (
@@ -41,6 +42,7 @@
         "zone_link_budget",
         "member_probe",
         "server_reports",
+        "crash_attribution",
         "capacity_released",
     )
 
@@ -57,6 +59,7 @@
         zone_link_budget,
         member_probe,
         server_reports,
+        crash_attribution,
     ):
         self.view = view
         self.pool = pool
@@ -69,6 +72,7 @@
         self.zone_link_budget = zone_link_budget
         self.member_probe = member_probe
         self.server_reports = server_reports
+        self.crash_attribution = crash_attribution
         self.capacity_released = trio.Event()
 
     def choose_server(self, context: Context, tried):
--- a/basilwinch/forward/context.py
+++ b/basilwinch/forward/context.py
@@ -11,7 +11,8 @@
     the time from ``started_at`` to the first event and ``longest_gap_s`` the longest time between
     two sends of events to the caller, both in seconds. ``outcome`` is ``served``,
     ``server_error``, the code of a failure, or ``gone`` if the caller left first; ``reason``
-    explains it in the log.
+    explains it in the log. ``request_digest`` identifies the request when its caller sends it
+    again, None until it is computed.
 
     :param exchange: request and response of the caller
     :param info: :class:`~basilwinch.forward.message.CallerRequest`
@@ -39,6 +40,7 @@
         "servers",
         "first_s",
         "longest_gap_s",
+        "request_digest",
         "_last_events_at",
     )
 
@@ -61,6 +63,7 @@
         self.servers: list[str] = []
         self.first_s: float | None = None
         self.longest_gap_s = 0.0
+        self.request_digest: str | None = None
         self._last_events_at = started_at
 
     def record_events(self, now: float) -> None:
--- a/basilwinch/forward/plain.py
+++ b/basilwinch/forward/plain.py
@@ -45,6 +45,9 @@
         runs = not_run_attempts = 0
         last: Answered | Failure | None = None
         while True:
+            refused = self._components.crash_attribution.assess(context)
+            if isinstance(refused, Failure):
+                return refused if last is None else last
             server = self._components.choose_server(context, tried)
             if server is None:
                 failure = NO_SERVER.because("no untried server is available", _RETRY_AFTER_S)
@@ -82,9 +85,12 @@
         selection.begin(server.id)
         context.servers.append(server.id)
         failed, load = None, None
+        suspect_attempt = self._components.crash_attribution.begin(context, [server.id], False)
         try:
             with trio.move_on_at(limit):
                 outcome, failed, load = await self._send_request(context, server)
+                if isinstance(outcome, Answered):
+                    suspect_attempt.finish()
                 return outcome
             failed = True
             late = trio.current_time() >= context.deadline - _RESPONSE_MARGIN_S
@@ -92,6 +98,7 @@
                 "deadline exceeded" if late else f"no complete response within {limit - now:.2f} s"
             )
         finally:
+            suspect_attempt.end()
             selection.end(server.id, failed, load)
 
     async def _send_request(self, context, server):
@@ -122,6 +129,7 @@
             failed = not isinstance(outcome, Answered)
             return outcome, failed, components.dialect.read_server_load(dict(response.headers))
         except ServerError as error:
+            await components.crash_attribution.report_failure(server, context.info.id)
             return OutcomeUnknown(error.failure.reason), True, None
         finally:
             if reusable:
--- a/basilwinch/forward/stall.py
+++ b/basilwinch/forward/stall.py
@@ -46,7 +46,7 @@
         "_path",
         "_components",
         "_context",
-        "_head",
+        "head",
         "_prepare_next",
         "_mean_gap_s",
         "prefilling",
@@ -56,7 +56,7 @@
         self._path = path
         self._components = components
         self._context = context
-        self._head = head
+        self.head = head
         self._prepare_next = prepare_next
         self._mean_gap_s = _INITIAL_GAP_PASSES * path.pass_ms / 1000
         self.prefilling = True
@@ -123,7 +123,7 @@
 
         This is taken from the head's report; a head that does not answer is itself at fault.
         """
-        report = await self._components.server_reports.fetch(self._head)
+        report = await self._components.server_reports.fetch(self.head)
         if isinstance(report, Failure):
-            return f"{self._head.host}:{self._head.port}"
+            return f"{self.head.host}:{self.head.port}"
         return self._components.dialect.find_stalled_server(report, self._context.info.id)
--- a/basilwinch/forward/stream.py
+++ b/basilwinch/forward/stream.py
@@ -16,6 +16,7 @@
     ServerError,
 )
 from basilwinch.forward.context import Context
+from basilwinch.forward.crashes import FIRST_EVENTS
 from basilwinch.forward.events import EventSplitter, read_event_id
 from basilwinch.forward.outcome import Answered, NotRun, OutcomeUnknown
 from basilwinch.forward.stall import StallDetector
@@ -31,6 +32,9 @@
 _MAX_BODY_BYTES = 1 << 20  # of a response that is not relayed as a stream
 _RESPONSE_MARGIN_S = 0.03  # before the deadline, so that a response still reaches the caller
 _MAX_ATTEMPTS = 4  # for each request, the first included; retries also count against the budget
+# After a crash, other nodes vouch within this time for parts of prompts that they know; covers a
+# round trip and the pause between reports.
+_VOUCH_WAIT_S = 0.1
 _RETRY_AFTER_RANGE_S = (0.5, 2.0)  # drawn at random, so that callers don't retry together
 
 
@@ -69,6 +73,7 @@
         "_runs",
         "_next_path",
         "_attempt_events",
+        "_suspect_attempt",
         "_log",
     )
 
@@ -83,6 +88,7 @@
         self._runs = 0  # attempts in which the request may have run
         self._next_path = None  # path of the next attempt; its retry is already counted
         self._attempt_events = 0  # new events of the current attempt
+        self._suspect_attempt = None
         self._log = structlog.get_logger("stream")
 
     async def run(self) -> Answered | Failure | None:
@@ -90,12 +96,14 @@
         failure: Failure | None = None
         while self._attempts < _MAX_ATTEMPTS:
             path = await self._take_path()
-            if isinstance(path, Failure):
-                return self._finalize_failure(path if failure is None else failure)
+            trial = await self._assess() if path else False
+            refused = path if isinstance(path, Failure) else trial
+            if isinstance(refused, Failure):
+                return self._finalize_failure(refused if failure is None else failure)
             self._attempts += 1
             self._attempt_events = 0
             attempt_started = trio.current_time()
-            outcome = await self._attempt(path)
+            outcome = await self._attempt(path, trial)
             if outcome is None or isinstance(outcome, Answered):
                 return outcome
             self._log.info(
@@ -128,6 +136,15 @@
             return OUTCOME_UNKNOWN.because(failure.reason)
         return failure
 
+    async def _assess(self) -> bool | Failure:
+        """Return whether the next attempt tries a suspected part, or why the request is refused."""
+        crash_attribution = self._components.crash_attribution
+        trial = crash_attribution.assess(self._context)
+        if isinstance(trial, Failure) and self._attempts:
+            await trio.sleep(_VOUCH_WAIT_S)
+            trial = crash_attribution.assess(self._context)
+        return trial
+
     def _count_reserved_tokens(self) -> int:
         info = self._context.info
         output = info.max_output_tokens or _DEFAULT_OUTPUT_TOKENS
@@ -201,9 +218,10 @@
     def _draw_retry_after_s(self) -> float:
         return self._rng.uniform(*_RETRY_AFTER_RANGE_S)
 
-    async def _attempt(self, path):
+    async def _attempt(self, path, trial: bool):
         """Send to a chain and relay its response.
 
+        :param trial: whether the request tries a suspected part
         :returns: None if the whole stream has been sent to the caller, else ``Answered``,
             ``NotRun`` or ``OutcomeUnknown``
         """
@@ -213,11 +231,14 @@
         components.zone_link_budget.take(
             path.crossings * tokens * context.service.engine.token_transfer_s
         )
+        members = [member.server for member in path.members]
+        self._suspect_attempt = components.crash_attribution.begin(context, members[:1], trial)
         try:
             with trio.move_on_at(context.deadline - _RESPONSE_MARGIN_S):
                 return await self._send_request(path)
             return OutcomeUnknown("deadline exceeded")
         finally:
+            self._suspect_attempt.end()
             components.load.remove(path.members, tokens)
             components.signal_released_capacity()
 
@@ -263,6 +284,7 @@
             return outcome
         except ServerError as error:
             self._avoid.add(head.id)
+            await self._report_failure(head)
             return OutcomeUnknown(error.failure.reason)
         finally:
             if reusable:
@@ -303,13 +325,21 @@
                 return events
             self._attempt_events += len(events)
             if events:
+                self._suspect_attempt.record_events(len(events))
                 await self._send_events(response, b"".join(events))
                 detector.prefilling = False
         if splitter.has_partial_event or not context.exchange.started:
+            await self._report_failure(detector.head)
             return OutcomeUnknown("stream ended before its first event or within an event")
         await context.exchange.end()
         return None
 
+    async def _report_failure(self, head) -> None:
+        """Report a broken connection to the head, unless the attempt had made progress on it."""
+        if self._attempt_events < FIRST_EVENTS:
+            crash_attribution = self._components.crash_attribution
+            await crash_attribution.report_failure(head, self._context.info.id)
+
     def _select_new_events(self, events):
         """Return the events that the caller has not received.
 
--- a/basilwinch/peers/exchange.py
+++ b/basilwinch/peers/exchange.py
@@ -1,11 +1,11 @@
-"""Exchange of load reports over UDP among the nodes that the store lists."""
+"""Exchange of load reports and suspects over UDP among the nodes that the store lists."""
 
 import json
 
 import structlog
 import trio
 
-from basilwinch.exception import LEASE_LOST, PlatformError
+from basilwinch.exception import LEASE_LOST, Failure, PlatformError
 from basilwinch.peers.codec import decode_report, encode_report
 from basilwinch.store import KeyValue
 
@@ -17,6 +17,10 @@
 # A failed server is reported before the interval ends, but no sooner than this after the previous
 # report, so that a crash causes few reports.
 _MIN_EARLY_REPORT_DELAY_S = 0.25
+# New evidence against a suspect is sent sooner, since each request with it costs a server; the wait
+# only joins what one crash reveals.
+_MIN_SUSPECT_DELAY_S = 0.02
+_MAX_SUSPECT_BYTES = 8192  # in a report; an entry takes about 150 bytes
 _LEASE_TTL_S = 12.0  # a node that stopped still gets reports until its lease expires
 _RENEW_INTERVAL_S = 4.0
 _MAX_DATAGRAM_BYTES = 65535
@@ -30,6 +34,7 @@
     :param port: UDP port, the same on all nodes
     :param store: key-value service
     :param load: :class:`~basilwinch.chains.load.FleetLoad`
+    :param suspects: :class:`~basilwinch.suspicion.SuspectExchange`
     :param count_servers: function that returns the number of registered servers
     :param rng: random number generator for the jitter of renewals
     """
@@ -40,22 +45,28 @@
         "_port",
         "_store",
         "_load",
+        "_suspects",
         "_count_servers",
         "_peers",
+        "_sequence",
         "_report_requested",
+        "_suspects_changed",
         "_log",
         "_rng",
     )
 
-    def __init__(self, name, ip, port, store, load, count_servers, rng):
+    def __init__(self, name, ip, port, store, load, suspects, count_servers, rng):
         self._name = name
         self._ip = ip
         self._port = port
         self._store = store
         self._load = load
+        self._suspects = suspects
         self._count_servers = count_servers
         self._rng = rng
+        self._sequence = 0
         self._report_requested = trio.Event()
+        self._suspects_changed = trio.Event()
         load.on_suspect = self._request_report
         self._peers: dict[str, str] = {}
         self._log = structlog.get_logger("peers")
@@ -109,37 +120,59 @@
                 self._log.info("node registration or renewal failed", reason=error.failure.reason)
             await trio.sleep(_RENEW_INTERVAL_S * self._rng.uniform(0.8, 1.0))
 
+    def notify_suspects_changed(self) -> None:
+        """Send the suspects to all peers soon if the evidence has changed."""
+        if self._suspects.refresh(trio.current_time()):
+            self._suspects_changed.set()
+
     async def _send(self, sock) -> None:
-        sequence = 0
         last_was_empty = False
         while True:
-            peers = list(self._peers.items())
+            peers = dict(self._peers)
             self._load.report_interval_s = max(
                 _MIN_REPORT_INTERVAL_S, len(peers) / _MAX_REGULAR_DATAGRAMS_PER_S
             )
             await self._wait_until_report_is_due()
-            report = self._load.build_report(self._count_servers())
-            is_empty = not report.shares and not report.avoided
-            if is_empty and last_was_empty:
-                continue
+            report, suspects = self._build_report()
+            is_empty = not report.shares and not report.avoided and not suspects
+            if not is_empty or not last_was_empty:
+                await self._send_report(sock, peers, report, suspects)
             last_was_empty = is_empty
-            sequence += 1
-            data = encode_report(self._name, sequence, report)
-            for name, ip in peers:
-                try:
-                    await sock.sendto(data, (ip, self._port))
-                except OSError as error:
-                    self._log.info("load report not sent", node=name, error=repr(error))
+
+    def _build_report(self) -> tuple:
+        """Return the load report and the suspects of this node."""
+        suspects = self._suspects.export(_MAX_SUSPECT_BYTES, trio.current_time())
+        return self._load.build_report(self._count_servers()), suspects
+
+    async def _send_report(self, sock, peers: dict[str, str], report, suspects: bytes) -> None:
+        self._sequence += 1
+        data = encode_report(self._name, self._sequence, report, suspects)
+        for name, ip in peers.items():
+            try:
+                await sock.sendto(data, (ip, self._port))
+            except OSError as error:
+                self._log.info("load report not sent", node=name, error=repr(error))
 
     async def _wait_until_report_is_due(self) -> None:
-        """Wait for the report interval; a failed server ends the wait early.
+        """Wait for the report interval; a failed server or a new suspect ends the wait early.
 
-        The wait lasts at least ``_MIN_EARLY_REPORT_DELAY_S``.
+        For a failed server the wait lasts at least ``_MIN_EARLY_REPORT_DELAY_S``, for a suspect at
+        least ``_MIN_SUSPECT_DELAY_S``.
         """
-        await trio.sleep(min(_MIN_EARLY_REPORT_DELAY_S, self._load.report_interval_s))
-        with trio.move_on_after(self._load.report_interval_s - _MIN_EARLY_REPORT_DELAY_S):
-            await self._report_requested.wait()
+        start = trio.current_time()
+        await trio.sleep(_MIN_SUSPECT_DELAY_S)
+        with trio.move_on_at(start + self._load.report_interval_s):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._end_wait, nursery, self._suspects_changed, start)
+                early = start + min(_MIN_EARLY_REPORT_DELAY_S, self._load.report_interval_s)
+                nursery.start_soon(self._end_wait, nursery, self._report_requested, early)
         self._report_requested = trio.Event()
+        self._suspects_changed = trio.Event()
+
+    async def _end_wait(self, nursery, event: trio.Event, not_before: float) -> None:
+        await event.wait()
+        await trio.sleep_until(not_before)
+        nursery.cancel_scope.cancel()
 
     def _request_report(self) -> None:
         self._report_requested.set()
@@ -155,5 +188,16 @@
             if not message:
                 self._log.warning("load report malformed", reason=message.reason)
                 continue
-            node, _, report = message
+            node, _, report, suspects = message
             self._load.apply_report(node, report)
+            if suspects:
+                await self._merge_suspects(sock, node, suspects)
+
+    async def _merge_suspects(self, sock, node: str, data: bytes) -> None:
+        """Merge the suspects of a peer; answer it if this node can vouch for one of them."""
+        can_vouch = self._suspects.merge_broadcast(data, trio.current_time())
+        if isinstance(can_vouch, Failure):
+            self._log.warning("suspects malformed", node=node, reason=can_vouch.reason)
+        elif can_vouch and node in self._peers:
+            report, suspects = self._build_report()
+            await self._send_report(sock, {node: self._peers[node]}, report, suspects)
--- a/basilwinch/peers/schema.capnp
+++ b/basilwinch/peers/schema.capnp
@@ -7,6 +7,7 @@
   sequence @1 :UInt64;
   shares @2 :List(Share);
   avoided @3 :List(Avoided);
+  suspects @4 :Data;
 
   struct Share {
     server @0 :UInt32;
--- a/basilwinch/suspicion/__init__.py
+++ b/basilwinch/suspicion/__init__.py
@@ -1,6 +1,6 @@
-"""Attribution of server crashes to requests, without I/O."""
+"""Attribution of server crashes to requests and parts of prompts, without I/O."""
 
-from basilwinch.suspicion.evidence import SuspectEntry, digest_request
+from basilwinch.suspicion.evidence import SuspectEntry, digest_part, digest_request
 from basilwinch.suspicion.exchange import SuspectExchange
 from basilwinch.suspicion.registry import (
     IsolationClaim,
@@ -18,5 +18,6 @@
     "SuspectEntry",
     "SuspectExchange",
     "SuspectRegistry",
+    "digest_part",
     "digest_request",
 ]
--- a/basilwinch/suspicion/evidence.py
+++ b/basilwinch/suspicion/evidence.py
@@ -1,18 +1,31 @@
-"""Evidence against a request that may crash servers, and its exchange between nodes."""
+"""Evidence against a request, or a part of its prompt, and its exchange between nodes."""
 
 import enum
 import hashlib
 import json
+import math
 import zlib
 
 from basilwinch.exception import MALFORMED_REQUEST, ProtocolError
 from basilwinch.record import Record
 
-__all__ = ["Evidence", "Loss", "Strike", "SuspectEntry", "digest_request", "pack", "unpack"]
+__all__ = [
+    "Evidence",
+    "Loss",
+    "Strike",
+    "SuspectEntry",
+    "digest_part",
+    "digest_request",
+    "is_part",
+    "pack",
+    "unpack",
+]
 
 
 # Enough for 64 suspects with three strikes each.
 MAX_UNPACKED_BYTES = 1 << 16
+_MAX_STRIKES = 64  # kept per suspect; conviction needs three at most
+_PART_PREFIX = "part:"
 
 
 class Loss(enum.StrEnum):
@@ -35,20 +48,44 @@
     return hashlib.blake2b(parts, digest_size=16).hexdigest()
 
 
+def digest_part(part: str) -> str:
+    """Return the key of a part of a prompt; it differs from the digest of any request.
+
+    >>> is_part(digest_part("5c1e07a2")), is_part(digest_request("a", "b", "c"))
+    (True, False)
+    """
+    return _PART_PREFIX + part
+
+
+def is_part(digest: str) -> bool:
+    """Return whether a digest identifies a part of a prompt instead of a request."""
+    return digest.startswith(_PART_PREFIX)
+
+
 class Strike(Record):
     """Loss of one server, or for a stall of one stream, while it ran the request.
 
+    The strikes of a request and of the parts of its prompt for one loss have the same id.
+
     :param id: id of the strike, unique in the fleet: name of the node and number
     :param server: name of the lost server; for a stall the names of all servers of the chain,
         joined
     :param loss: :class:`Loss`
     :param strong: whether the request had just started on the server, so that it is a likely cause
     :param isolated: whether the request ran in isolation; for a death also as the only isolated
-        request on the server, for a stall also while no other request stalled recently
+        request on the server, for a stall also while no other request stalled recently; for a part
+        whether the request was sent to try the part
     :param age_s: seconds between the loss and the export
+    :param unknown: for a part, whether no request with it was known to have made progress
     """
 
-    __slots__ = ("id", "server", "loss", "strong", "isolated", "age_s")
+    __slots__ = ("id", "server", "loss", "strong", "isolated", "age_s", "unknown")
+    _defaults = {"unknown": False}
+
+    @property
+    def node(self) -> str:
+        """Name of the node that saw the loss."""
+        return self.id.rpartition("/")[0]
 
 
 class SuspectEntry(Record):
@@ -61,10 +98,12 @@
     :param left_s: seconds until the entry expires
     :param tests: tuple of (node, number, seconds left, servers) for the last isolation on each
         node; 0 seconds left means that it has ended
+    :param vouched: for a part, whether a node knows a request with it that made progress before the
+        strikes
     """
 
-    __slots__ = ("digest", "strikes", "cleared", "left_s", "tests")
-    _defaults = {"cleared": (), "tests": ()}
+    __slots__ = ("digest", "strikes", "cleared", "left_s", "tests", "vouched")
+    _defaults = {"cleared": (), "tests": (), "vouched": False}
 
     @property
     def isolating_node(self) -> str:
@@ -82,7 +121,10 @@
     rows = [
         [
             (
-                [[s.id, s.server, s.loss, s.strong, s.isolated, round(s.age_s, 3)] for s in value]
+                [
+                    [s.id, s.server, s.loss, s.strong, s.isolated, round(s.age_s, 3), s.unknown]
+                    for s in value
+                ]
                 if name == "strikes"
                 else value
             )
@@ -100,35 +142,43 @@
     :raises ProtocolError: on malformed bytes
     """
     try:
-        entries = []
-        for digest, strikes, cleared, left_s, tests in _decompress(data):
-            strikes = tuple(
-                Strike(
-                    str(strike_id),
-                    str(server),
-                    Loss(loss),
-                    bool(strong),
-                    bool(isolated),
-                    max(0.0, float(age_s)),
-                )
-                for strike_id, server, loss, strong, isolated, age_s in strikes
-            )
-            entries.append(
-                SuspectEntry(
-                    str(digest),
-                    strikes,
-                    tuple(map(str, cleared)),
-                    float(left_s),
-                    tuple(
-                        (str(node), int(number), float(left), tuple(map(str, servers)))
-                        for node, number, left, servers in tests
-                    ),
-                )
-            )
-    except (ValueError, TypeError, zlib.error) as error:
+        return [_read_entry(*row) for row in _decompress(data)]
+    except (ValueError, TypeError, OverflowError, RecursionError, zlib.error) as error:
         failure = MALFORMED_REQUEST.because(f"suspect entries cannot be read: {error}")
         raise ProtocolError(failure) from error
-    return entries
+
+
+def _read_entry(digest, strikes, cleared, left_s, tests, vouched=False) -> SuspectEntry:
+    """Return an entry from the values of its row; nodes of older versions send no last value."""
+    return SuspectEntry(
+        str(digest),
+        tuple(_read_strike(*row) for row in strikes),
+        tuple(map(str, cleared)),
+        _read_seconds(left_s),
+        tuple(
+            (str(node), int(number), _read_seconds(left), tuple(map(str, servers)))
+            for node, number, left, servers in tests
+        ),
+        bool(vouched),
+    )
+
+
+def _read_strike(id, server, loss, strong, isolated, age_s, unknown=False) -> Strike:
+    seconds = _read_seconds(age_s)
+    return Strike(
+        str(id), str(server), Loss(loss), bool(strong), bool(isolated), seconds, bool(unknown)
+    )
+
+
+def _read_seconds(value) -> float:
+    """Return a duration; a negative one becomes 0.
+
+    :raises ValueError: if it is not a finite number
+    """
+    seconds = float(value)
+    if not math.isfinite(seconds):
+        raise ValueError(f"expected a finite number of seconds, got {value!r}")
+    return max(0.0, seconds)
 
 
 def _decompress(data: bytes) -> list:
@@ -154,27 +204,32 @@
     commutative and idempotent.
 
     :param until: time of expiry
+    :param event_s: strikes within this time are one event
     """
 
-    __slots__ = ("strikes", "cleared", "until", "tests", "convicted_at")
+    __slots__ = ("event_s", "strikes", "cleared", "until", "tests", "convicted_at", "vouched")
 
-    def __init__(self, until: float):
+    def __init__(self, until: float, event_s: float = 0.0):
+        self.event_s = event_s
         self.strikes: dict[str, tuple[Strike, float]] = {}
         self.cleared: set[str] = set()
         self.until = until
         #: Last isolation on each node: its number, its latest end, and its servers.
         self.tests: dict[str, tuple[int, float, tuple[str, ...]]] = {}
         self.convicted_at: float | None = None
+        #: For a part, whether a node knows a request with it that made progress before the strikes.
+        self.vouched = False
 
     def active_strike_span_s(self) -> float:
         """Return the seconds between the first and the last active strike."""
-        times = [at for id, (_, at) in self.strikes.items() if id not in self.cleared]
+        times = self._active_times()
         return max(times) - min(times) if times else 0.0
 
-    def severity(self) -> tuple[int, int]:
-        """Return the numbers of strong active strikes and of all active strikes."""
+    def severity(self) -> tuple:
+        """Return a key that orders suspects by how much the other nodes need to know of them."""
         active = self.active_strikes()
-        return sum(strike.strong for strike in active), len(active)
+        strong = sum(strike.strong for strike in active)
+        return self.convicted_at is not None, len(self.open_strikes()), strong, len(active)
 
     def active_strikes(self) -> list[Strike]:
         """Return the strikes that are not cleared."""
@@ -193,6 +248,41 @@
         active = self.active_strikes()
         return len(active) >= 2 or any(s.strong for s in active) or bool(active and resent)
 
+    def open_strikes(self) -> list[tuple[Strike, float]]:
+        """Return the active strikes against an unknown part, with their times.
+
+        There are none once a node vouches for the part.
+        """
+        if self.vouched:
+            return []
+        return [
+            (strike, at)
+            for id, (strike, at) in self.strikes.items()
+            if id not in self.cleared and strike.unknown
+        ]
+
+    def is_part_convicted(self) -> bool:
+        """Return whether the evidence suffices to refuse all requests with the part.
+
+        Requests that make progress clear the strikes of their parts, so a harmless part that is in
+        use keeps none for long. It takes three events, or two if the part was unknown or on trial.
+        """
+        events = self._count_events(self.active_strikes())
+        tried = any(strike.isolated for strike in self.active_strikes())
+        open_strikes = [strike for strike, _ in self.open_strikes()]
+        return events >= 3 or (tried and events >= 2) or self._count_events(open_strikes) >= 2
+
+    def _count_events(self, strikes) -> int:
+        """Return the number of events at which strikes occurred."""
+        count, event_at = 0, -math.inf
+        for at in sorted(self.strikes[strike.id][1] for strike in strikes):
+            if at - event_at > self.event_s:
+                count, event_at = count + 1, at
+        return count
+
+    def _active_times(self) -> list[float]:
+        return [at for id, (_, at) in self.strikes.items() if id not in self.cleared]
+
     def is_convicted(self) -> bool:
         """Return whether the evidence suffices to refuse the request.
 
@@ -200,7 +290,7 @@
         congestion, so with stalls it takes three strikes, at least one of them in isolation.
         """
         active = self.active_strikes()
-        deaths = sum(strike.loss is Loss.DEATH for strike in active)
+        deaths = self._count_events(s for s in active if s.loss is Loss.DEATH)
         if deaths >= 3:
             return True
         isolated_strikes = [strike for strike in active if strike.isolated]
@@ -211,8 +301,10 @@
     def merge(self, entry: SuspectEntry, now: float) -> None:
         """Merge an entry of another node."""
         for strike in entry.strikes:
-            self.strikes.setdefault(strike.id, (strike, now - strike.age_s))
-        self.cleared.update(entry.cleared)
+            if strike.id in self.strikes or len(self.strikes) < _MAX_STRIKES:
+                self.strikes.setdefault(strike.id, (strike, now - strike.age_s))
+        self.vouched = self.vouched or entry.vouched
+        self.cleared.update(id for id in entry.cleared if id in self.strikes)
         self.until = max(self.until, now + entry.left_s)
         for node, number, left_s, servers in entry.tests:
             known, until, _ = self.tests.get(node, (0, 0.0, ()))
@@ -246,4 +338,5 @@
             (node, number, max(0.0, until - now), servers)
             for node, (number, until, servers) in self.tests.items()
         )
-        return SuspectEntry(digest, strikes, tuple(sorted(self.cleared)), self.until - now, tests)
+        cleared = tuple(sorted(self.cleared))
+        return SuspectEntry(digest, strikes, cleared, self.until - now, tests, self.vouched)
--- a/basilwinch/suspicion/exchange.py
+++ b/basilwinch/suspicion/exchange.py
@@ -3,6 +3,7 @@
 import math
 
 from basilwinch.exception import Failure, ProtocolError
+from basilwinch.suspicion.evidence import pack
 from basilwinch.suspicion.registry import SuspectRegistry
 
 __all__ = ["SuspectExchange"]
@@ -18,9 +19,16 @@
     """Exchanges suspect requests between nodes.
 
     :param suspects: registry of suspects on this node
+    :param max_entries: maximum number of suspects in a message
     """
 
-    __slots__ = ("_suspects", "_known_evidence", "_changed_at", "_unchanged_messages")
+    __slots__ = (
+        "_suspects",
+        "_max_entries",
+        "_known_evidence",
+        "_changed_at",
+        "_unchanged_messages",
+    )
 
     kind = 1
     # An entry takes about 150 bytes; on most days there are none. After a crash three peers must
@@ -28,8 +36,9 @@
     # may repeat the request right after its response. At 800 bytes/s the second entry was delayed.
     bytes_per_s = 2400.0
 
-    def __init__(self, suspects: SuspectRegistry):
+    def __init__(self, suspects: SuspectRegistry, max_entries: int = MAX_SUSPECTS_PER_MESSAGE):
         self._suspects = suspects
+        self._max_entries = max_entries
         self._known_evidence: set = set()
         self._changed_at = -math.inf
         self._unchanged_messages = 0
@@ -37,7 +46,7 @@
     def export(self, limit: int, now: float) -> bytes:
         """Return the most severe suspects that fit into ``limit`` bytes, empty for none.
 
-        At most ``MAX_SUSPECTS_PER_MESSAGE`` are returned. Once ``SUSPECT_RESEND_PERIOD_S`` have
+        At most ``max_entries`` are returned. Once ``SUSPECT_RESEND_PERIOD_S`` have
         passed since the last change, only one of ``SUSPECT_RESEND_INTERVAL_MESSAGES`` messages
         carries them. Sorts all entries of the registry: O(n log n).
         """
@@ -48,13 +57,13 @@
             ) % SUSPECT_RESEND_INTERVAL_MESSAGES
             if self._unchanged_messages:
                 return b""
-        data = b""
-        for count in range(1, MAX_SUSPECTS_PER_MESSAGE + 1):
-            longer = self._suspects.export_bytes(now, count)
-            if len(longer) > limit or len(longer) == len(data):
-                break
-            data = longer
-        return data
+        entries = self._suspects.list_entries(now)[: self._max_entries]
+        while entries:
+            data = pack(entries)
+            if len(data) <= limit:
+                return data
+            entries.pop()
+        return b""
 
     def merge(self, node: str, data: bytes, now: float) -> bool | Failure:
         """Merge the suspects of another node.
@@ -67,6 +76,19 @@
             return error.failure
         return self.refresh(now)
 
+    def merge_broadcast(self, data: bytes, now: float) -> bool | Failure:
+        """Merge the suspects of a node that sends them to all others itself.
+
+        :returns: whether that node should get the suspects of this one, which knows requests that
+            speak for a part among them
+        """
+        try:
+            can_vouch = self._suspects.merge_bytes(data, now)
+        except ProtocolError as error:
+            return error.failure
+        self.refresh(now)
+        return can_vouch
+
     def refresh(self, now: float) -> bool:
         """Read the registry; returns whether the evidence on likely suspects has changed.
 
@@ -88,8 +110,16 @@
     likely cause. They do not count as a change and are sent when a message next carries suspects.
     """
     entries = [entry for entry in entries if any(strike.strong for strike in entry.strikes)]
-    return {
-        (entry.digest, strike.id, strike.id in entry.cleared)
-        for entry in entries
-        for strike in entry.strikes
-    } | {(entry.digest, test[0], test[1], test[2] > 0) for entry in entries for test in entry.tests}
+    return (
+        {
+            (entry.digest, strike.id, strike.id in entry.cleared)
+            for entry in entries
+            for strike in entry.strikes
+        }
+        | {
+            (entry.digest, test[0], test[1], test[2] > 0)
+            for entry in entries
+            for test in entry.tests
+        }
+        | {(entry.digest, "vouched") for entry in entries if entry.vouched}
+    )
--- a/basilwinch/suspicion/registry.py
+++ b/basilwinch/suspicion/registry.py
@@ -1,9 +1,10 @@
 """Registry of requests that may have crashed servers, without I/O."""
 
 import math
+import zlib
 from collections import deque
 
-from basilwinch.exception import REQUEST_QUARANTINED, Failure
+from basilwinch.exception import CRASH_SUSPECT, REQUEST_QUARANTINED, Failure
 from basilwinch.observability import DecisionLog
 from basilwinch.record import Record
 from basilwinch.suspicion.evidence import (
@@ -11,6 +12,7 @@
     Loss,
     Strike,
     SuspectEntry,
+    is_part,
     pack,
     unpack,
 )
@@ -19,15 +21,11 @@
 __all__ = ["IsolationClaim", "IsolationWait", "NextAttempt", "SuspectRegistry"]
 
 _POLL_INTERVAL_S = 0.02
-# After this many frames a request is no longer a likely cause of a crash: crashes occur during the
-# prefill or just after it, when the request enters the batch.
-_PROGRESS_FRAMES = 8
-# If a server is reported dead sooner than this after the start of an attempt, and no attempt on it
-# received a frame within _RECENT_FRAME_S, it was dead before, and the attempt gets no strike.
-# Otherwise requests routed one after another to the servers of a lost zone would get strikes for
-# their deaths.
-_MIN_ATTEMPT_AGE_S = 0.03
-_RECENT_FRAME_S = 1.0
+_CRC32_RANGE = 1 << 32
+# A request with a suspected part that another request is trying comes back after this time; a trial
+# ends with the first events of a stream.
+_TRIAL_WAIT_S = 0.5
+_RECENT_FRAME_S = 1.0  # see min_attempt_age_s
 
 
 class IsolationClaim(Record):
@@ -56,13 +54,24 @@
 class _RunningAttempt:
     """An attempt in progress on this node."""
 
-    __slots__ = ("digest", "servers", "isolated", "started_at", "frame_count", "frame_at")
+    __slots__ = (
+        "digest",
+        "servers",
+        "isolated",
+        "started_at",
+        "parts",
+        "trial",
+        "frame_count",
+        "frame_at",
+    )
 
-    def __init__(self, digest, servers, isolated, started_at):
+    def __init__(self, digest, servers, isolated, started_at, parts, trial):
         self.digest = digest
         self.servers = servers
         self.isolated = isolated
         self.started_at = started_at
+        self.parts = parts
+        self.trial = trial
         self.frame_count = 0
         self.frame_at = -math.inf
 
@@ -88,6 +97,9 @@
         "_stalls",
         "_isolations",
         "_strike_count",
+        "_hold_elsewhere_s",
+        "_known_parts",
+        "_trials",
         "on_change",
     )
 
@@ -105,6 +117,13 @@
         #: Request digests of the isolations claimed by this node, by run id; each takes a slot.
         self._isolations: dict[str, str] = {}
         self._strike_count = 0
+        self._hold_elsewhere_s = config.part_hold_elsewhere_s * (
+            1 + zlib.crc32(config.node.encode()) / _CRC32_RANGE
+        )
+        #: Time of the last progress of a request with the part, by digest, oldest first.
+        self._known_parts: dict[str, float] = {}
+        #: Run id of the request that tries a suspected part now, by digest of the part.
+        self._trials: dict[str, str] = {}
         self.on_change = on_change
 
     # Exchange between nodes.
@@ -123,28 +142,124 @@
         )
         return [evidence.to_entry(digest, now) for digest, evidence in ordered]
 
-    def merge_entries(self, entries: list[SuspectEntry], now: float) -> None:
-        """Merge entries of another node."""
+    def merge_entries(self, entries: list[SuspectEntry], now: float) -> bool:
+        """Merge entries of another node.
+
+        :returns: whether this node knows of requests that speak for a part among the entries; the
+            other node should then get the entries of this one
+        """
+        adds_knowledge = False
         for entry in entries:
+            entry = entry.replace(left_s=min(entry.left_s, self._config.quarantine_s))
             evidence = self._get_or_create_evidence(entry.digest, now)
             known = set(evidence.strikes)
             evidence.merge(entry, now)
             for id, (strike, at) in evidence.strikes.items():
                 if id not in known and strike.loss is Loss.DEATH:
                     self._record_death(strike.server, at)
+            adds_knowledge |= self._vouch(entry.digest, evidence, now)
             self._update_conviction(entry.digest, evidence, now)
         self._drop_expired(now)
+        return adds_knowledge
 
     def export_bytes(self, now: float, max_entries: int = 64) -> bytes:
         """Return up to ``max_entries`` entries as bytes to send to other nodes."""
         return pack(self.list_entries(now)[:max_entries])
 
-    def merge_bytes(self, data: bytes, now: float) -> None:
-        """Merge entries exported by another node.
+    def merge_bytes(self, data: bytes, now: float) -> bool:
+        """Merge entries exported by another node; see :meth:`merge_entries`.
 
         :raises ProtocolError: on malformed bytes
         """
-        self.merge_entries(unpack(data), now)
+        return self.merge_entries(unpack(data), now)
+
+    # Suspected parts of prompts.
+
+    def assess(self, digest: str, parts, now: float) -> bool | Failure:
+        """Return whether a request would try a suspected part, or the failure of a refused one.
+
+        :param digest: digest of the request
+        :param parts: digests of the parts of its prompt, see :func:`digest_part`
+        """
+        evidence = self._evidence.get(digest)
+        if evidence is not None and now < evidence.until and evidence.is_convicted():
+            return self._refuse(digest, evidence.until - now, "crashed servers repeatedly")
+        trial = False
+        for part in parts:
+            evidence = self._evidence.get(part)
+            if evidence is None or now >= evidence.until:
+                continue
+            if evidence.is_part_convicted():
+                return self._refuse(part, evidence.until - now, "crashed servers repeatedly")
+            if not evidence.open_strikes():
+                continue
+            wait_s = self._find_hold_end(evidence, parts) - now
+            if wait_s > 0 or part in self._trials:
+                wait_s = max(wait_s, _TRIAL_WAIT_S)
+                return self._refuse(part, wait_s, "may have crashed a server")
+            trial = True
+        return trial
+
+    def _find_hold_end(self, evidence: Evidence, parts) -> float:
+        """Return the time at which this node may try a suspected part.
+
+        A request that lacks another part with the same strike tells the two apart, and is less
+        likely to crash its server, so it need not wait as long.
+        """
+        config = self._config
+        strike, at = max(evidence.open_strikes(), key=lambda item: item[1])
+        own = strike.node == config.node
+        if self._list_suspected_parts(strike.id) <= set(parts):
+            return at + (config.part_hold_s if own else self._hold_elsewhere_s)
+        return at + (0.0 if own else config.part_contrast_delay_s)
+
+    def _list_suspected_parts(self, strike_id: str) -> set[str]:
+        """Return the parts with a strike that is still open. Linear in the suspects."""
+        return {
+            digest
+            for digest, evidence in self._evidence.items()
+            if is_part(digest)
+            and any(strike.id == strike_id for strike, _ in evidence.open_strikes())
+        }
+
+    def _refuse(self, digest: str, wait_s: float, why: str) -> Failure:
+        return CRASH_SUSPECT.because(
+            f"{digest} {why}; refused for {wait_s:.1f} s", wait_s, digest=digest
+        )
+
+    def _record_progress(self, part: str, now: float) -> None:
+        """Record that a request with the part made progress, which clears the part."""
+        self._known_parts.pop(part, None)
+        self._known_parts[part] = now
+        while len(self._known_parts) > self._config.max_known_parts:
+            del self._known_parts[next(iter(self._known_parts))]
+        evidence = self._evidence.get(part)
+        if evidence is not None and evidence.active_strikes():
+            self._clear_part(part, evidence, now)
+            self._notify_change()
+
+    def _clear_part(self, part: str, evidence: Evidence, now: float) -> None:
+        evidence.cleared.update(evidence.strikes)
+        self._update_conviction(part, evidence, now)
+        self._log.record("suspect", "cleared", "a request with the part progressed", digest=part)
+
+    def _vouch(self, digest: str, evidence: Evidence, now: float) -> bool:
+        """Clear a part, or vouch for it, by what this node knows; return whether that is new."""
+        progress_at = self._find_progress(digest, now)
+        active = [at for id, (_, at) in evidence.strikes.items() if id not in evidence.cleared]
+        if progress_at is None or not active:
+            return False
+        if progress_at > max(active):
+            self._clear_part(digest, evidence, now)
+            return True
+        is_new = not evidence.vouched
+        evidence.vouched = True
+        return is_new
+
+    def _find_progress(self, part: str, now: float) -> float | None:
+        """Return the time of the last progress with a part, or None if there is none lately."""
+        at = self._known_parts.get(part)
+        return at if at is not None and now - at <= self._config.part_history_s else None
 
     # Attempts of a request.
 
@@ -200,9 +315,18 @@
         self.release_claim(digest, run_id)
         return False
 
-    def begin_attempt(self, digest: str, run_id: str, servers, isolated: bool, now: float) -> None:
-        """Count an attempt in progress; announce an isolated one to the other nodes."""
-        self._running[run_id] = _RunningAttempt(digest, servers, isolated, now)
+    def begin_attempt(
+        self, digest: str, run_id: str, servers, isolated: bool, now: float, parts=(), trial=False
+    ) -> None:
+        """Count an attempt in progress; announce an isolated one to the other nodes.
+
+        :param parts: digests of the parts of the prompt
+        :param trial: whether the request tries a suspected part, see :meth:`assess`
+        """
+        self._running[run_id] = _RunningAttempt(digest, servers, isolated, now, parts, trial)
+        if trial:
+            self._trials.update((part, run_id) for part in parts)
+            self._log.record("suspect", "trial", "request tries a suspected part", request=run_id)
         if isolated:
             evidence = self._get_or_create_evidence(digest, now)
             evidence.begin_isolation(
@@ -212,20 +336,33 @@
         else:
             self._isolations.pop(run_id, None)
 
-    def record_frame(self, digest: str, run_id: str, now: float) -> None:
-        """Record a frame of an attempt; enough frames end its isolation."""
+    def record_frame(self, digest: str, run_id: str, now: float, count: int = 1) -> None:
+        """Record frames of an attempt; enough frames end its isolation and clear its parts."""
         running = self._running[run_id]
-        running.frame_count += 1
+        had_progress = running.frame_count >= self._config.progress_frames
+        running.frame_count += count
         running.frame_at = now
-        if running.frame_count == _PROGRESS_FRAMES:
+        if not had_progress and running.frame_count >= self._config.progress_frames:
             running.isolated = False
             self.release_claim(digest, run_id)
+            for part in running.parts:
+                self._record_progress(part, now)
 
     def end_attempt(self, digest: str, run_id: str) -> None:
         """Stop counting an attempt, and end its isolation."""
-        self._running.pop(run_id, None)
+        running = self._running.pop(run_id, None)
+        if running is not None and running.trial:
+            for part in running.parts:
+                if self._trials.get(part) == run_id:
+                    del self._trials[part]
         self.release_claim(digest, run_id)
 
+    def finish_attempt(self, digest: str, run_id: str, now: float) -> None:
+        """Record the complete response of a request, which speaks for it and all its parts."""
+        for part in self._running[run_id].parts:
+            self._record_progress(part, now)
+        self.clear(digest, now)
+
     def clear(self, digest: str, now: float) -> None:
         """Clear the strikes of a request that finished, unless it is convicted."""
         evidence = self._evidence.get(digest)
@@ -266,7 +403,7 @@
             run_id
             for run_id, running in on_server.items()
             if running.started_at > self._death_reported_at.get(server, -math.inf)
-            and (recent_frame or now - running.started_at >= _MIN_ATTEMPT_AGE_S)
+            and (recent_frame or now - running.started_at >= self._config.min_attempt_age_s)
         ]
         if not new_runs:
             return
@@ -275,20 +412,24 @@
         likely = [
             run_id
             for run_id in sorted(new_runs, key=lambda r: -on_server[r].started_at)
-            if on_server[run_id].frame_count < _PROGRESS_FRAMES
+            if on_server[run_id].frame_count < self._config.progress_frames
             and now - on_server[run_id].started_at <= self._config.strong_max_age_s
         ][: self._config.max_strong_strikes]
         one_isolated = sum(running.isolated for running in on_server.values()) == 1
-        for run_id in new_runs:
+        for run_id in new_runs if self._config.weak_strikes else likely:
             running = on_server[run_id]
-            self._add_strike(
-                running.digest,
+            strong = run_id in likely
+            strike = Strike(
+                self._next_strike_id(),
                 server,
                 Loss.DEATH,
-                run_id in likely,
+                strong,
                 running.isolated and one_isolated,
-                now,
+                0.0,
             )
+            self._add_strike(running.digest, strike, now)
+            if strong:
+                self._add_part_strikes(running, strike, now)
         self._log.record(
             "suspect",
             "death",
@@ -307,13 +448,28 @@
         isolated_alone = only_stall and any(
             running.isolated and running.digest == digest for running in self._running.values()
         )
-        self._add_strike(digest, "+".join(servers), Loss.STALL, False, isolated_alone, now)
+        servers = "+".join(servers)
+        strike = Strike(self._next_strike_id(), servers, Loss.STALL, False, isolated_alone, 0.0)
+        self._add_strike(digest, strike, now)
 
-    def _add_strike(self, digest, server, loss, strong, isolated, now) -> None:
-        evidence = self._get_or_create_evidence(digest, now)
+    def _next_strike_id(self) -> str:
         self._strike_count += 1
-        id = f"{self._config.node}/{self._strike_count}"
-        evidence.strikes[id] = (Strike(id, server, loss, strong, isolated, 0.0), now)
+        return f"{self._config.node}/{self._strike_count}"
+
+    def _add_part_strikes(self, running: _RunningAttempt, strike: Strike, now: float) -> None:
+        """Add a strike to the parts of a prompt, or only to one that is convicted already."""
+        convicted = [
+            part
+            for part in running.parts
+            if part in self._evidence and self._evidence[part].is_part_convicted()
+        ]
+        for part in convicted or running.parts:
+            unknown = self._find_progress(part, now) is None
+            self._add_strike(part, strike.replace(isolated=running.trial, unknown=unknown), now)
+
+    def _add_strike(self, digest: str, strike: Strike, now: float) -> None:
+        evidence = self._get_or_create_evidence(digest, now)
+        evidence.strikes[strike.id] = (strike, now)
         evidence.until = max(evidence.until, now + self._config.suspect_ttl_s)
         if self._is_mass_loss(now):
             self._clear_mass_loss(now)
@@ -353,7 +509,8 @@
         )
 
     def _update_conviction(self, digest: str, evidence: Evidence, now: float) -> None:
-        if not evidence.is_convicted():
+        convicted = evidence.is_part_convicted() if is_part(digest) else evidence.is_convicted()
+        if not convicted:
             evidence.convicted_at = None
         elif evidence.convicted_at is None:
             evidence.convicted_at = now
@@ -366,6 +523,15 @@
                 digest=digest,
                 servers=servers,
             )
+            if is_part(digest):
+                self._clear_explained_strikes(digest, evidence)
+
+    def _clear_explained_strikes(self, part: str, evidence: Evidence) -> None:
+        """Clear the strikes that other parts and the requests share with a convicted part."""
+        explained = {strike.id for strike in evidence.active_strikes()}
+        for digest, other in self._evidence.items():
+            if digest != part and other.convicted_at is None:
+                other.cleared.update(explained & other.strikes.keys())
 
     def _quarantine_failure(self, digest: str, evidence: Evidence, now: float) -> Failure:
         left = evidence.until - now
@@ -388,7 +554,9 @@
     def _get_or_create_evidence(self, digest: str, now: float) -> Evidence:
         evidence = self._evidence.get(digest)
         if evidence is None or now >= evidence.until:
-            evidence = self._evidence[digest] = Evidence(now + self._config.suspect_ttl_s)
+            evidence = self._evidence[digest] = Evidence(
+                now + self._config.suspect_ttl_s, self._config.event_s
+            )
         return evidence
 
     def _drop_expired(self, now: float) -> None:
