Tell parts of prompts apart before one of them is convicted

Cause: the first part and the crashing part of the same requests had the same strikes, the first one that was examined was convicted, and its conviction cleared the other one. Change: a part is convicted only if no other part explains its events as well, or after four events; a request that lacks such a part is tried at once by the node that saw the crash, as before, and its progress decides. Candidates are compared by the servers lost instead of by single attempts. Times of deaths per server expire.

--- a/basilwinch/entry/node.py
+++ b/basilwinch/entry/node.py
@@ -39,6 +39,7 @@
 _MAX_PREFILL_S = 10.0  # a request that waits longer for its first event is queued, not running
 _MIN_CRASH_AGE_S = 0.005  # a server that was dead before resets a connection within a round trip
 _SAME_EVENT_S = 0.25  # nodes notice the loss of a rack within this time of each other
+_SUSPECT_RESEND_PERIOD_S = 1.0  # four reports, as single datagrams may be lost
 _MAX_SUSPECTS_PER_REPORT = 32  # about 150 bytes each, in a datagram of at most 64 KB
 
 # A round trip takes under 2 ms. A lost packet is sent again after 1 s, too late to wait for it.
@@ -114,7 +115,7 @@
             settings.peer_port,
             self._store,
             self.load,
-            SuspectExchange(self._suspects, _MAX_SUSPECTS_PER_REPORT),
+            SuspectExchange(self._suspects, _MAX_SUSPECTS_PER_REPORT, _SUSPECT_RESEND_PERIOD_S),
             lambda: len(self.view.servers),
             rng,
         )
--- a/basilwinch/suspicion/evidence.py
+++ b/basilwinch/suspicion/evidence.py
@@ -26,6 +26,9 @@
 MAX_UNPACKED_BYTES = 1 << 16
 _MAX_STRIKES = 64  # kept per suspect; conviction needs three at most
 _PART_PREFIX = "part:"
+# Parts that always came together are all refused after this many events; with fewer, a request with
+# only some of them can still tell them apart.
+_AMBIGUOUS_EVENTS = 4
 
 
 class Loss(enum.StrEnum):
@@ -261,17 +264,25 @@
             if id not in self.cleared and strike.unknown
         ]
 
-    def is_part_convicted(self) -> bool:
+    def is_part_convicted(self, ambiguous: bool) -> bool:
         """Return whether the evidence suffices to refuse all requests with the part.
 
         Requests that make progress clear the strikes of their parts, so a harmless part that is in
         use keeps none for long. It takes three events, or two if the part was unknown or on trial.
+
+        :param ambiguous: whether another part explains the same events as well
         """
         events = self._count_events(self.active_strikes())
+        if ambiguous:
+            return events >= _AMBIGUOUS_EVENTS
         tried = any(strike.isolated for strike in self.active_strikes())
         open_strikes = [strike for strike, _ in self.open_strikes()]
         return events >= 3 or (tried and events >= 2) or self._count_events(open_strikes) >= 2
 
+    def lost_servers(self) -> set[str]:
+        """Return the servers of the active strikes."""
+        return {strike.server for strike in self.active_strikes()}
+
     def _count_events(self, strikes) -> int:
         """Return the number of events at which strikes occurred."""
         count, event_at = 0, -math.inf
--- a/basilwinch/suspicion/exchange.py
+++ b/basilwinch/suspicion/exchange.py
@@ -20,11 +20,14 @@
 
     :param suspects: registry of suspects on this node
     :param max_entries: maximum number of suspects in a message
+    :param resend_period_s: time after a change during which each message carries the suspects, in
+        seconds
     """
 
     __slots__ = (
         "_suspects",
         "_max_entries",
+        "_resend_period_s",
         "_known_evidence",
         "_changed_at",
         "_unchanged_messages",
@@ -36,9 +39,15 @@
     # may repeat the request right after its response. At 800 bytes/s the second entry was delayed.
     bytes_per_s = 2400.0
 
-    def __init__(self, suspects: SuspectRegistry, max_entries: int = MAX_SUSPECTS_PER_MESSAGE):
+    def __init__(
+        self,
+        suspects: SuspectRegistry,
+        max_entries: int = MAX_SUSPECTS_PER_MESSAGE,
+        resend_period_s: float = SUSPECT_RESEND_PERIOD_S,
+    ):
         self._suspects = suspects
         self._max_entries = max_entries
+        self._resend_period_s = resend_period_s
         self._known_evidence: set = set()
         self._changed_at = -math.inf
         self._unchanged_messages = 0
@@ -46,12 +55,12 @@
     def export(self, limit: int, now: float) -> bytes:
         """Return the most severe suspects that fit into ``limit`` bytes, empty for none.
 
-        At most ``max_entries`` are returned. Once ``SUSPECT_RESEND_PERIOD_S`` have
-        passed since the last change, only one of ``SUSPECT_RESEND_INTERVAL_MESSAGES`` messages
+        At most ``max_entries`` are returned. Once the resend period has passed
+        since the last change, only one of ``SUSPECT_RESEND_INTERVAL_MESSAGES`` messages
         carries them. Sorts all entries of the registry: O(n log n).
         """
         self.refresh(now)
-        if now - self._changed_at > SUSPECT_RESEND_PERIOD_S:
+        if now - self._changed_at > self._resend_period_s:
             self._unchanged_messages = (
                 self._unchanged_messages + 1
             ) % SUSPECT_RESEND_INTERVAL_MESSAGES
--- a/basilwinch/suspicion/registry.py
+++ b/basilwinch/suspicion/registry.py
@@ -158,8 +158,10 @@
                 if id not in known and strike.loss is Loss.DEATH:
                     self._record_death(strike.server, at)
             adds_knowledge |= self._vouch(entry.digest, evidence, now)
-            self._update_conviction(entry.digest, evidence, now)
+            if not is_part(entry.digest):
+                self._update_conviction(entry.digest, evidence, now)
         self._drop_expired(now)
+        self._review_parts(now)
         return adds_knowledge
 
     def export_bytes(self, now: float, max_entries: int = 64) -> bytes:
@@ -189,7 +191,7 @@
             evidence = self._evidence.get(part)
             if evidence is None or now >= evidence.until:
                 continue
-            if evidence.is_part_convicted():
+            if evidence.convicted_at is not None:
                 return self._refuse(part, evidence.until - now, "crashed servers repeatedly")
             if not evidence.open_strikes():
                 continue
@@ -203,23 +205,23 @@
     def _find_hold_end(self, evidence: Evidence, parts) -> float:
         """Return the time at which this node may try a suspected part.
 
-        A request that lacks another part with the same strike tells the two apart, and is less
-        likely to crash its server, so it need not wait as long.
+        A request that lacks another part which explains the strikes as well tells the two apart,
+        and is less likely to crash its server, so it need not wait as long.
         """
         config = self._config
         strike, at = max(evidence.open_strikes(), key=lambda item: item[1])
         own = strike.node == config.node
-        if self._list_suspected_parts(strike.id) <= set(parts):
+        if self._list_candidates(evidence) <= set(parts):
             return at + (config.part_hold_s if own else self._hold_elsewhere_s)
         return at + (0.0 if own else config.part_contrast_delay_s)
 
-    def _list_suspected_parts(self, strike_id: str) -> set[str]:
-        """Return the parts with a strike that is still open. Linear in the suspects."""
+    def _list_candidates(self, evidence: Evidence) -> set[str]:
+        """Return the unknown parts that explain the strikes as well. Linear in the suspects."""
+        servers = evidence.lost_servers()
         return {
             digest
-            for digest, evidence in self._evidence.items()
-            if is_part(digest)
-            and any(strike.id == strike_id for strike, _ in evidence.open_strikes())
+            for digest, other in self._evidence.items()
+            if is_part(digest) and other.open_strikes() and servers <= other.lost_servers()
         }
 
     def _refuse(self, digest: str, wait_s: float, why: str) -> Failure:
@@ -235,12 +237,12 @@
             del self._known_parts[next(iter(self._known_parts))]
         evidence = self._evidence.get(part)
         if evidence is not None and evidence.active_strikes():
-            self._clear_part(part, evidence, now)
+            self._clear_part(part, evidence)
+            self._review_parts(now)
             self._notify_change()
 
-    def _clear_part(self, part: str, evidence: Evidence, now: float) -> None:
+    def _clear_part(self, part: str, evidence: Evidence) -> None:
         evidence.cleared.update(evidence.strikes)
-        self._update_conviction(part, evidence, now)
         self._log.record("suspect", "cleared", "a request with the part progressed", digest=part)
 
     def _vouch(self, digest: str, evidence: Evidence, now: float) -> bool:
@@ -250,7 +252,7 @@
         if progress_at is None or not active:
             return False
         if progress_at > max(active):
-            self._clear_part(digest, evidence, now)
+            self._clear_part(digest, evidence)
             return True
         is_new = not evidence.vouched
         evidence.vouched = True
@@ -430,6 +432,7 @@
             self._add_strike(running.digest, strike, now)
             if strong:
                 self._add_part_strikes(running, strike, now)
+        self._review_parts(now)
         self._log.record(
             "suspect",
             "death",
@@ -461,7 +464,7 @@
         convicted = [
             part
             for part in running.parts
-            if part in self._evidence and self._evidence[part].is_part_convicted()
+            if part in self._evidence and self._evidence[part].convicted_at is not None
         ]
         for part in convicted or running.parts:
             unknown = self._find_progress(part, now) is None
@@ -473,7 +476,8 @@
         evidence.until = max(evidence.until, now + self._config.suspect_ttl_s)
         if self._is_mass_loss(now):
             self._clear_mass_loss(now)
-        self._update_conviction(digest, evidence, now)
+        if not is_part(digest):
+            self._update_conviction(digest, evidence, now)
         self._notify_change()
 
     def _record_death(self, server: str, at: float) -> None:
@@ -508,8 +512,43 @@
             cleared=count,
         )
 
-    def _update_conviction(self, digest: str, evidence: Evidence, now: float) -> None:
-        convicted = evidence.is_part_convicted() if is_part(digest) else evidence.is_convicted()
+    def _review_parts(self, now: float) -> None:
+        """Update the conviction of all parts, after evidence on any of them has changed.
+
+        Quadratic in the parts with active strikes, which are few except after a crash.
+        """
+        struck = {
+            digest: evidence
+            for digest, evidence in self._evidence.items()
+            if is_part(digest) and (evidence.active_strikes() or evidence.convicted_at is not None)
+        }
+        for digest, evidence in struck.items():
+            self._update_conviction(digest, evidence, now, self._is_ambiguous(digest, struck))
+
+    def _is_ambiguous(self, part: str, struck: dict[str, Evidence]) -> bool:
+        """Return whether another part that is not convicted explains the same events as well.
+
+        A known part explains them less well than an unknown one.
+        """
+        evidence = struck[part]
+        if evidence.convicted_at is not None:
+            return False
+        servers, unknown = evidence.lost_servers(), bool(evidence.open_strikes())
+        return any(
+            digest != part
+            and other.convicted_at is None
+            and (not unknown or other.open_strikes())
+            and servers <= other.lost_servers()
+            for digest, other in struck.items()
+        )
+
+    def _update_conviction(
+        self, digest: str, evidence: Evidence, now: float, ambiguous: bool = False
+    ) -> None:
+        if is_part(digest):
+            convicted = evidence.is_part_convicted(ambiguous)
+        else:
+            convicted = evidence.is_convicted()
         if not convicted:
             evidence.convicted_at = None
         elif evidence.convicted_at is None:
@@ -560,6 +599,9 @@
         return evidence
 
     def _drop_expired(self, now: float) -> None:
+        oldest = now - self._config.suspect_ttl_s
+        for server in [s for s, at in self._death_reported_at.items() if at < oldest]:
+            del self._death_reported_at[server]
         for digest in [d for d, e in self._evidence.items() if now >= e.until]:
             del self._evidence[digest]
         excess = len(self._evidence) - self._config.max_suspects
--- a/basilwinch/suspicion/tests/test_parts.py
+++ b/basilwinch/suspicion/tests/test_parts.py
@@ -82,6 +82,25 @@
         assert registry.assess("r5", (OTHER,), 14.4) is False
 
 
+def test_parts_that_came_together_are_told_apart_before_one_is_convicted(make_registry):
+    """Guards against blaming the common part of the requests for what the other part does."""
+    registry = make_registry("n1")
+    crash(registry, "r1", "s1", (COMMON, BAD), 10.0)
+    crash(registry, "r2", "s2", (COMMON, BAD), 14.2, trial=True)
+    assert registry.assess("r3", (COMMON,), 14.3) is True
+    serve(registry, "r3", (COMMON,), 14.3)
+    assert registry.assess("r4", (COMMON,), 14.5) is False
+    assert registry.assess("r5", (COMMON, BAD), 14.5).retry_after > 500
+
+
+def test_parts_that_always_come_together_are_refused_after_four_crashes(make_registry):
+    """Guards against crashes without end because two parts cannot be told apart."""
+    registry = make_registry("n1")
+    for number in range(4):
+        crash(registry, f"r{number}", f"s{number}", (COMMON, BAD), 10.0 + 5 * number)
+    assert registry.assess("r9", (COMMON, BAD), 60.0).retry_after > 400
+
+
 def test_only_one_node_tries_a_suspected_part_one_request_at_a_time(make_registry):
     """Guards against a crash on each node when the time of refusal ends."""
     first, second = make_registry("n1"), make_registry("n2")
