Keep convictions of suspects in the store

Cause: convictions were only in the memory of the nodes, and all of them had started anew. Change: a conviction that holds for one to two seconds is written under a lease that ends with it; a node reads it with its view, before it serves. Nodes with evidence of their own keep to it when the key is gone. Values are checked when they are read.

--- a/basilwinch/entry/node.py
+++ b/basilwinch/entry/node.py
@@ -24,6 +24,7 @@
 from basilwinch.forward.stream import StreamForwarder
 from basilwinch.lease import LeaseConfig, LeaseHolder
 from basilwinch.observability import DecisionLog
+from basilwinch.peers.convictions import CONVICTIONS_PREFIX, ConvictionRecords
 from basilwinch.peers.exchange import NODES_PREFIX, PeerExchange
 from basilwinch.suspicion import SuspectConfig, SuspectExchange, SuspectRegistry
 from basilwinch.view import CallerLimits, View, read_boot_clock
@@ -119,6 +120,7 @@
             lambda: len(self.view.servers),
             rng,
         )
+        self._convictions = ConvictionRecords(self._suspects, self._store, rng)
         self._suspects.on_change = self._peers.notify_suspects_changed
         self._store_watcher = StoreWatcher(source, self.view, rng, read_boot_clock)
         self._store_watcher.on_key = self._apply_key
@@ -175,6 +177,7 @@
             nursery.start_soon(self._listen, settings.metrics, self._handle_metrics)
             nursery.start_soon(self._store_watcher.run)
             nursery.start_soon(self._peers.run)
+            nursery.start_soon(self._convictions.run)
             nursery.start_soon(self._run_maintenance)
             nursery.start_soon(self._lease.run, self._layout_controller.run)
             nursery.start_soon(self._listen_front, nursery)
@@ -271,6 +274,8 @@
         self._store.publish(key, value, revision)
         if key.startswith(NODES_PREFIX):
             self._peers.apply(key, value)
+        elif key.startswith(CONVICTIONS_PREFIX):
+            self._convictions.apply(key, value)
         elif key.startswith(LAYOUT_PREFIX):
             self._chain_selection.apply(key.removeprefix(LAYOUT_PREFIX), value)
 
--- /dev/null
+++ b/basilwinch/peers/convictions.py
@@ -0,0 +1,92 @@
+"""Convictions of suspects in the store, where they outlast the processes of all nodes."""
+
+import json
+
+import structlog
+import trio
+
+from basilwinch.exception import PlatformError
+from basilwinch.store import Compare, KeyValue
+
+__all__ = ["CONVICTIONS_PREFIX", "ConvictionRecords"]
+
+CONVICTIONS_PREFIX = "basilwinch/convictions/"
+_CHECK_INTERVAL_S = 0.5
+# Requests in progress at the time of a conviction may still make progress and clear it. Nodes write
+# at different times, so that the first one saves the others the calls.
+_WRITE_DELAY_RANGE_S = (1.0, 2.0)
+_MIN_LEFT_S = 5.0  # a conviction that ends sooner is not worth the calls
+_MAX_DIGEST_CHARACTERS = 128
+
+
+class ConvictionRecords:
+    """Writes convictions of this node to the store, and applies those of other nodes.
+
+    Each has a lease that ends with the conviction. A node that starts reads them with its view,
+    before it serves; its peers may know of none, or may have started with it.
+
+    :param suspects: :class:`~basilwinch.suspicion.SuspectRegistry`
+    :param store: key-value store
+    :param rng: random number generator for the delay of writes
+    """
+
+    __slots__ = ("_suspects", "_store", "_rng", "_stored", "_write_at", "_log")
+
+    def __init__(self, suspects, store, rng):
+        self._suspects = suspects
+        self._store = store
+        self._rng = rng
+        self._stored: set[str] = set()
+        # By digest: time at which a conviction that is not in the store is written.
+        self._write_at: dict[str, float] = {}
+        self._log = structlog.get_logger("convictions")
+
+    def apply(self, key: str, value: bytes | None) -> None:
+        """Apply a change of a conviction in the store.
+
+        :param key: key of the conviction
+        :param value: its value, or None if it was deleted
+        """
+        digest = key.removeprefix(CONVICTIONS_PREFIX)
+        if value is None:
+            self._stored.discard(digest)
+            self._suspects.end_stored_conviction(digest)
+            return
+        try:
+            left_s = float(json.loads(value)["ttl_s"])
+        except (ValueError, KeyError, TypeError, OverflowError, RecursionError) as error:
+            self._log.warning("conviction malformed", key=key, error=repr(error))
+            return
+        if not 0 < left_s < float("inf") or not 0 < len(digest) <= _MAX_DIGEST_CHARACTERS:
+            self._log.warning("conviction malformed", key=key, left_s=left_s)
+            return
+        self._stored.add(digest)
+        self._suspects.apply_stored_conviction(digest, left_s, trio.current_time())
+
+    async def run(self) -> None:
+        """Write convictions until cancelled."""
+        while True:
+            await trio.sleep(_CHECK_INTERVAL_S)
+            now = trio.current_time()
+            convictions = self._suspects.list_convictions(now)
+            self._write_at = {
+                digest: self._write_at.get(digest, now + self._rng.uniform(*_WRITE_DELAY_RANGE_S))
+                for digest, left_s in convictions.items()
+                if digest not in self._stored and left_s >= _MIN_LEFT_S
+            }
+            for digest in [d for d, at in self._write_at.items() if at <= now]:
+                await self._write(digest, convictions[digest])
+
+    async def _write(self, digest: str, left_s: float) -> None:
+        key = CONVICTIONS_PREFIX + digest
+        value = json.dumps({"ttl_s": round(left_s, 1)}).encode()
+        try:
+            grant = await self._store.grant(left_s)
+            outcome = await self._store.transact(
+                [Compare(key, 0)], [KeyValue(key, value, 0, grant.lease)]
+            )
+        except PlatformError as error:
+            self._log.info("conviction not stored", digest=digest, reason=error.failure.reason)
+            return
+        self._stored.add(digest)
+        self._log.info("conviction stored", digest=digest, first=outcome.succeeded, ttl_s=left_s)
--- a/basilwinch/suspicion/evidence.py
+++ b/basilwinch/suspicion/evidence.py
@@ -210,7 +210,16 @@
     :param event_s: strikes within this time are one event
     """
 
-    __slots__ = ("event_s", "strikes", "cleared", "until", "tests", "convicted_at", "vouched")
+    __slots__ = (
+        "event_s",
+        "stored_until",
+        "strikes",
+        "cleared",
+        "until",
+        "tests",
+        "convicted_at",
+        "vouched",
+    )
 
     def __init__(self, until: float, event_s: float = 0.0):
         self.event_s = event_s
@@ -222,6 +231,8 @@
         self.convicted_at: float | None = None
         #: For a part, whether a node knows a request with it that made progress before the strikes.
         self.vouched = False
+        #: Time until which a conviction in the store applies.
+        self.stored_until = -math.inf
 
     def active_strike_span_s(self) -> float:
         """Return the seconds between the first and the last active strike."""
--- a/basilwinch/suspicion/registry.py
+++ b/basilwinch/suspicion/registry.py
@@ -175,6 +175,34 @@
         """
         return self.merge_entries(unpack(data), now)
 
+    # Convictions in the store.
+
+    def list_convictions(self, now: float) -> dict[str, float]:
+        """Return the remaining seconds of the convictions by evidence, by digest."""
+        return {
+            digest: evidence.until - now
+            for digest, evidence in self._evidence.items()
+            if evidence.convicted_at is not None and now < evidence.until
+        }
+
+    def apply_stored_conviction(self, digest: str, left_s: float, now: float) -> None:
+        """Refuse a suspect that another node, or an earlier process of this one, convicted.
+
+        :param left_s: seconds until the conviction ends
+        """
+        until = now + min(left_s, self._config.quarantine_s)
+        evidence = self._get_or_create_evidence(digest, now)
+        evidence.stored_until = until
+        evidence.until = max(evidence.until, until)
+        self._drop_expired(now)
+        self._log.record("suspect", "stored_conviction", "read from the store", digest=digest)
+
+    def end_stored_conviction(self, digest: str) -> None:
+        """Apply the end of a conviction in the store; one by own evidence stays in force."""
+        evidence = self._evidence.get(digest)
+        if evidence is not None:
+            evidence.stored_until = -math.inf
+
     # Suspected parts of prompts.
 
     def assess(self, digest: str, parts, now: float) -> bool | Failure:
@@ -183,16 +211,15 @@
         :param digest: digest of the request
         :param parts: digests of the parts of its prompt, see :func:`digest_part`
         """
-        evidence = self._evidence.get(digest)
-        if evidence is not None and now < evidence.until and evidence.is_convicted():
-            return self._refuse(digest, evidence.until - now, "crashed servers repeatedly")
+        for key in (digest, *parts):
+            evidence = self._evidence.get(key)
+            if evidence is not None and self._is_refused(evidence, now):
+                return self._refuse(key, evidence.until - now, "crashed servers repeatedly")
         trial = False
         for part in parts:
             evidence = self._evidence.get(part)
             if evidence is None or now >= evidence.until:
                 continue
-            if evidence.convicted_at is not None:
-                return self._refuse(part, evidence.until - now, "crashed servers repeatedly")
             if not evidence.open_strikes():
                 continue
             wait_s = self._find_hold_end(evidence, parts) - now
@@ -202,6 +229,11 @@
             trial = True
         return trial
 
+    def _is_refused(self, evidence: Evidence, now: float) -> bool:
+        if now < evidence.stored_until:
+            return True
+        return evidence.convicted_at is not None and now < evidence.until
+
     def _find_hold_end(self, evidence: Evidence, parts) -> float:
         """Return the time at which this node may try a suspected part.
 
