Do not try a lost request again at once beside others that were lost

Cause: a request counted as such if it lacked any part that had been lost on the server; the bystanders' parts were enough. Change: it counts only if it lacks a part of each lost request; of the requests on one server with the same unknown parts, the one with most of them stands for the others.

--- a/basilwinch/suspicion/registry.py
+++ b/basilwinch/suspicion/registry.py
@@ -237,24 +237,37 @@
     def _find_hold_end(self, evidence: Evidence, parts) -> float:
         """Return the time at which this node may try a suspected part.
 
-        A request that lacks another part which explains the strikes as well tells the two apart,
-        and is less likely to crash its server, so it need not wait as long.
+        A request that lacks an unknown part of each request that was lost with this one tells the
+        parts apart, and is less likely to crash its server, so it need not wait as long.
         """
         config = self._config
         strike, at = max(evidence.open_strikes(), key=lambda item: item[1])
         own = strike.node == config.node
-        if self._list_candidates(evidence) <= set(parts):
+        if any(lost_parts <= set(parts) for lost_parts in self._list_lost_parts(evidence)):
             return at + (config.part_hold_s if own else self._hold_elsewhere_s)
         return at + (0.0 if own else config.part_contrast_delay_s)
 
-    def _list_candidates(self, evidence: Evidence) -> set[str]:
-        """Return the unknown parts that explain the strikes as well. Linear in the suspects."""
-        servers = evidence.lost_servers()
-        return {
-            digest
-            for digest, other in self._evidence.items()
-            if is_part(digest) and other.open_strikes() and servers <= other.lost_servers()
-        }
+    def _list_lost_parts(self, evidence: Evidence) -> list[frozenset[str]]:
+        """Return the unknown parts of each request that was lost with a suspected part.
+
+        If another request on the same server had the same unknown parts and more, the smaller set
+        is left out, as the larger one explains the loss as well. Linear in the suspects.
+        """
+        by_strike: dict[str, set[str]] = {strike.id: set() for strike, _ in evidence.open_strikes()}
+        for digest, other in self._evidence.items():
+            if is_part(digest):
+                for strike, _ in other.open_strikes():
+                    if strike.id in by_strike:
+                        by_strike[strike.id].add(digest)
+        lost = [
+            (strike.server, frozenset(by_strike[strike.id]))
+            for strike, _ in evidence.open_strikes()
+        ]
+        return [
+            parts
+            for server, parts in lost
+            if not any(server == other_server and parts < larger for other_server, larger in lost)
+        ]
 
     def _refuse(self, digest: str, wait_s: float, why: str) -> Failure:
         return CRASH_SUSPECT.because(
--- a/basilwinch/suspicion/tests/test_parts.py
+++ b/basilwinch/suspicion/tests/test_parts.py
@@ -101,6 +101,17 @@
     assert registry.assess("r9", (COMMON, BAD), 60.0).retry_after > 400
 
 
+def test_lost_request_is_not_tried_again_at_once_beside_others_that_were_lost(make_registry):
+    """Guards against a second crash by the retry of the request that caused the first one."""
+    registry = make_registry("n1")
+    for run, parts in (("r1", (COMMON, BAD)), ("r2", (OTHER,)), ("r3", (COMMON,))):
+        registry.begin_attempt(run, run, ["s1"], False, 9.9, parts)
+    registry.report_death("s1", 10.0)
+    assert is_refused(registry, (COMMON, BAD), 10.1)
+    assert is_refused(registry, (OTHER,), 10.1)
+    assert registry.assess("r4", (COMMON,), 10.1) is True
+
+
 def test_only_one_node_tries_a_suspected_part_one_request_at_a_time(make_registry):
     """Guards against a crash on each node when the time of refusal ends."""
     first, second = make_registry("n1"), make_registry("n2")
