Give up a server that sends informational responses without end

Callers waited until their deadline, and the node read on all the while. Cause: the head of a response was awaited over any number of informational responses; all other heads and bodies without end were bounded already. Change: after 16 of them the attempt has failed.

--- a/basilwinch/wire/client.py
+++ b/basilwinch/wire/client.py
@@ -18,6 +18,7 @@
 _READ_CHUNK_BYTES = 65536
 _TCP_USER_TIMEOUT_MS = 3000  # a connection is closed if sent data is not acknowledged for this time
 _MAX_INLINE_BODY_BYTES = 16384  # fits the send buffer, so that sending does not wait for the server
+_MAX_INFORMATIONAL_RESPONSES = 16  # before a response; a faulty server may send them without end
 # TCP keep-alive probes detect a server that vanished while nothing is sent to it.
 _TCP_KEEPALIVE_IDLE_S = 2
 _TCP_KEEPALIVE_INTERVAL_S = 1
@@ -95,9 +96,9 @@
         """Return the head of the response.
 
         :raises ServerError: with ``OUTCOME_UNKNOWN`` if the connection fails or is closed, or the
-            response is malformed
+            response is malformed, or comes after too many informational ones
         """
-        while True:
+        for _ in range(_MAX_INFORMATIONAL_RESPONSES + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 self.server_max_idle_s = _read_max_idle_s(event)
@@ -106,6 +107,11 @@
                 raise ServerError(
                     self._outcome_unknown("the server closed the connection before its response")
                 )
+        raise ServerError(
+            self._outcome_unknown(
+                f"more than {_MAX_INFORMATIONAL_RESPONSES} informational responses"
+            )
+        )
 
     async def receive_data(self) -> bytes | None:
         """Return the next part of the body, or None at its end.
--- a/basilwinch/wire/tests/test_client.py
+++ b/basilwinch/wire/tests/test_client.py
@@ -5,6 +5,7 @@
 import trio
 import trio.testing
 
+from basilwinch.exception import ServerError
 from basilwinch.wire.client import ServerConnection
 from basilwinch.wire.pool import ConnectionPool
 
@@ -97,3 +98,64 @@
         assert sock.closed == (not kept or b"timeout=4" in header)
 
     run(test)
+
+
+class EndlessSocket(Socket):
+    """A socket that has further bytes ready without end."""
+
+    def __init__(self, start: bytes, repeated: bytes):
+        super().__init__()
+        self._start = start
+        self._repeated = repeated
+        self.received = 0
+
+    async def recv(self, count):
+        await trio.lowlevel.checkpoint()
+        data, self._start = self._start or self._repeated, b""
+        self.received += len(data)
+        assert self.received < 4 << 20, "reads on without end"
+        return data
+
+
+@pytest.mark.parametrize(
+    ("start", "repeated"),
+    [
+        (b"", b"x" * 1000),
+        (b"HTTP/1.1 200 OK\r\n", b"a: " + b"b" * 90 + b"\r\n"),
+        (b"HTTP/1.1 200 ", b"OK" * 500),
+        (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 40),
+    ],
+)
+def test_head_without_end_is_given_up(run, start, repeated):
+    """Guards against reading, and keeping, a head that never ends."""
+
+    async def test():
+        connection = ServerConnection(EndlessSocket(start, repeated), "10.0.0.1", 1)
+        await connection.send(b"GET", b"/", [], b"")
+        with pytest.raises(ServerError):
+            await connection.receive_head()
+
+    run(test)
+
+
+@pytest.mark.parametrize(
+    ("header", "repeated"),
+    [
+        (b"", b"x" * 1000),
+        (b"Transfer-Encoding: chunked\r\n", b"3e8\r\n" + b"x" * 1000 + b"\r\n"),
+        (b"Transfer-Encoding: chunked\r\n", b"0" * 1000),
+        (b"Content-Length: 999999999999\r\n", b"x" * 1000),
+    ],
+)
+def test_body_without_end_is_given_up(run, header, repeated):
+    """Guards against reading, and keeping, a body that never ends."""
+
+    async def test():
+        start = b"HTTP/1.1 200 OK\r\n" + header + b"\r\n"
+        connection = ServerConnection(EndlessSocket(start, repeated), "10.0.0.1", 1)
+        await connection.send(b"GET", b"/", [], b"")
+        await connection.receive_head()
+        with pytest.raises(ServerError):
+            await connection.receive_body(1 << 20)
+
+    run(test)
