Give up a stream whose event never ends

Callers waited until their deadline while the node kept the bytes of one event in memory. Cause: the events of a stream were split without a limit on the bytes of an event that is not complete. Change: above 1 MB the attempt has failed, and the stream resumes elsewhere. Complete events before it are relayed first. The stand-in's servers answer without length or chunks, end within an event, or never end. Result: test_answer_without_end_is_given_up_and_repeated_elsewhere failed before (deadline exceeded after 1.5 s) and passes. Three more tests, of answers without length or chunks and of streams that end within an event, passed before: those rules were kept already.

--- a/basilwinch/forward/events.py
+++ b/basilwinch/forward/events.py
@@ -30,6 +30,11 @@
         """Whether the bytes so far end within an event."""
         return bool(self._partial)
 
+    @property
+    def partial_bytes(self) -> int:
+        """Number of bytes of the event that is not complete yet."""
+        return len(self._partial)
+
 
 def read_event_id(event: bytes) -> int | None:
     r"""Return the id of an event, or None.
--- a/basilwinch/forward/stream.py
+++ b/basilwinch/forward/stream.py
@@ -30,6 +30,7 @@
 _RESERVED_PER_HINTED_TOKEN = 1.2
 _DEFAULT_OUTPUT_TOKENS = 200  # reserved if the caller gives no maximum and no lower estimate
 _MAX_BODY_BYTES = 1 << 20  # of a response that is not relayed as a stream
+_MAX_EVENT_BYTES = 1 << 20  # an event holds a few tokens; a faulty server may never end one
 _RESPONSE_MARGIN_S = 0.03  # before the deadline, so that a response still reaches the caller
 _MAX_ATTEMPTS = 4  # for each request, the first included; retries also count against the budget
 # After a crash, other nodes vouch within this time for parts of prompts that they know; covers a
@@ -328,6 +329,9 @@
                 self._suspect_attempt.record_events(len(events))
                 await self._send_events(response, b"".join(events))
                 detector.prefilling = False
+            if splitter.partial_bytes > _MAX_EVENT_BYTES:
+                self._avoid.add(path.members[0].server)
+                return OutcomeUnknown(f"stream has an event of over {_MAX_EVENT_BYTES} bytes")
         if splitter.has_partial_event or not context.exchange.started:
             await self._report_failure(detector.head)
             return OutcomeUnknown("stream ended before its first event or within an event")
--- a/basilwinch/platform/tests/standin.py
+++ b/basilwinch/platform/tests/standin.py
@@ -1,6 +1,7 @@
 """Stand-in of the platform's store and of its servers, on loopback, for tests."""
 
 import base64
+import contextlib
 import json
 import socket
 import urllib.parse
@@ -14,6 +15,7 @@
 
 _EVENTS_PER_STREAM = 6
 _EVENT_INTERVAL_S = 0.01
+_RAW_FAULTS = ("unframed", "unframed cut", "endless")
 _PAUSE_S = 1.4  # silence of a chain that is slow but alive
 
 
@@ -22,8 +24,10 @@
 
     Faults: ``full`` (503, not run), ``mute`` (no answer), ``reset`` (run, then the connection is
     reset), ``error`` (500), and in a stream ``pause`` (silence after event 3) and ``cut`` (reset
-    within event 4). A server crashes on the first event of any stream whose prompt contains one of
-    ``crashing_parts``.
+    within event 4). ``unframed`` sends an answer with neither a length nor chunks, ``unframed cut``
+    one that ends within event 4, and ``endless`` one whose body, or first event, never ends.
+
+    A server crashes on the first event of any stream whose prompt has one of ``crashing_parts``.
     """
 
     def __init__(self, server_id, service, port, kind=None):
@@ -273,6 +277,9 @@
             _reset(exchange)
             return
         header.append((b"X-Server-Stamp", server.id.encode()))
+        if fault in _RAW_FAULTS:
+            await _send_raw(exchange, header, server.kind is not None, fault)
+            return
         if fault == "error":
             await exchange.respond(500, header, b"failed")
         elif server.kind is None:
@@ -299,6 +306,25 @@
         await exchange.end()
 
 
+async def _send_raw(exchange, header, streaming: bool, fault: str) -> None:
+    """Answer without framing, and end the answer by closing the connection."""
+    stream = exchange._connection._stream
+    fields = b"".join(name + b": " + value + b"\r\n" for name, value in header)
+    await stream.send_all(b"HTTP/1.1 200 OK\r\n" + fields + b"\r\n")
+    with contextlib.suppress(trio.BrokenResourceError):
+        if fault == "endless":
+            await stream.send_all(b"id: 1\ndata: ")
+            while True:
+                await stream.send_all(b"x" * 65536)
+        start = int(exchange.headers.get(b"last-event-id", b"0")) + 1
+        end = 4 if fault == "unframed cut" else _EVENTS_PER_STREAM + 1
+        body = b"".join(b"id: %d\ndata: token\n\n" % number for number in range(start, end))
+        if fault == "unframed cut":
+            body += b"id: 4\nda"
+        await stream.send_all(body if streaming else b"whole body")
+    await stream.aclose()
+
+
 def _reset(exchange) -> None:
     """Reset the connection of a request."""
     sock = exchange._connection._stream.socket
--- a/basilwinch/platform/tests/test_path.py
+++ b/basilwinch/platform/tests/test_path.py
@@ -127,6 +127,74 @@
     run_with(test)
 
 
+def _set_faults(site, *faults):
+    for server in site.platform.servers:
+        server.faults = list(faults)
+
+
+_TOKENS = [(b"X-Token-Count", b"100,18")]
+_STREAM = b"".join(b"id: %d\ndata: token\n\n" % number for number in range(1, 7))
+
+
+def test_answer_without_length_or_chunks_is_relayed_whole(run_with):
+    """Guards against an answer that is lost, or cut, because only its connection ends it."""
+
+    async def test(site):
+        _set_faults(site, "unframed")
+        status, _, body = await site.call(b"GET", b"/safe/a", b"r1")
+        assert (status, body) == (200, b"whole body")
+        status, _, body = await site.call(b"POST", b"/s/a", b"r2", b"{}", headers=_TOKENS)
+        assert (status, body) == (200, _STREAM)
+        _set_faults(site)
+        assert (await site.call(b"GET", b"/safe/a", b"r3"))[0] == 200
+
+    run_with(test)
+
+
+def test_stream_without_length_that_ends_within_an_event_is_resumed(run_with):
+    """Guards against a stream that broke off within an event and looks complete to its caller."""
+
+    async def test(site):
+        heads = [s for s in site.platform.servers if s.layers and s.layers[0] == 0]
+        for server in heads:
+            server.faults = ["unframed cut"]
+        status, _, body = await site.call(b"POST", b"/s/a", b"r1", b"{}", headers=_TOKENS)
+        assert (status, body) == (200, _STREAM)
+
+    run_with(test)
+
+
+def test_stream_that_ends_within_an_event_and_cannot_resume_looks_cut(run_with, configuration):
+    """Guards against the proper end of a stream whose last events are missing."""
+    for route in configuration["routes"]:
+        route.pop("can-resume", None)
+
+    async def test(site):
+        _set_faults(site, "unframed cut")
+        with pytest.raises(ServerError):
+            await site.call(b"POST", b"/s/a", b"r1", b"{}", headers=_TOKENS)
+
+    run_with(test)
+
+
+def test_answer_without_end_is_given_up_and_repeated_elsewhere(run_with):
+    """Guards against memory that grows with bytes that a faulty server sends without end."""
+
+    async def test(site):
+        for server in site.platform.servers:
+            server.faults = ["endless"] if server.id in ("p0", "c0") else []
+        for number in range(4):
+            status, _, body = await site.call(
+                b"POST", b"/s/a", b"s%d" % number, b"{}", headers=_TOKENS
+            )
+            assert (status, body) == (200, _STREAM)
+            status, _, body = await site.call(b"GET", b"/safe/a", b"r%d" % number)
+            assert status == 200
+            assert body.startswith(b"done by p1")
+
+    run_with(test)
+
+
 def test_new_configuration_and_withdrawn_key_take_effect(run_with, configuration):
     async def test(site):
         newer = configuration | {"version": 9, "tenants": [{"name": "org", "api-keys": ["key-2"]}]}
