--- a/basilwinch/entry/metrics.py
+++ b/basilwinch/entry/metrics.py
@@ -22,6 +22,7 @@
         "_late_streams",
         "_view_age",
         "_servers",
+        "_limited_servers",
     )
 
     def __init__(self):
@@ -61,6 +62,15 @@
             "Registered backend servers",
             registry=self.registry,
         )
+        self._limited_servers = prometheus_client.Gauge(
+            "basilwinch_limited_servers",
+            "Servers that name a limit of requests per second in their answers",
+            registry=self.registry,
+        )
+
+    def set_limited_servers(self, count) -> None:
+        """Set the function that returns the number of servers with a limit of their own."""
+        self._limited_servers.set_function(count)
 
     def set_view(self, view, clock) -> None:
         """Compute the gauges from a view whenever the metrics are rendered.
--- a/basilwinch/entry/node.py
+++ b/basilwinch/entry/node.py
@@ -7,6 +7,7 @@
 import structlog
 import trio
 
+from basilwinch.admission.server_limits import ServerLimits
 from basilwinch.chains import ChainSelection, FleetLoad, PathFinder
 from basilwinch.chains.controller import LAYOUT_PREFIX, LayoutController
 from basilwinch.chains.zone_link import ZoneLinkBudget
@@ -134,6 +135,8 @@
         self._member_probe = MemberProbe(clock)
         self._server_reports = ServerReports(self._pool, dialect, clock)
         self._chain_selection = ChainSelection(self.load, rng)
+        self._server_limits = ServerLimits(clock)
+        self.metrics.set_limited_servers(self._server_limits.count_limited)
         self._crash_attribution = CrashAttribution(self._suspects, MemberProbe(clock))
         components = Components(
             self.view,
@@ -148,6 +151,7 @@
             self._member_probe,
             self._server_reports,
             self._crash_attribution,
+            self._server_limits,
         )
         self._forwarder = Forwarder(
             components,
@@ -296,3 +300,4 @@
             self._member_probe.prune(self.view.servers)
             self._server_reports.prune(self.view.servers)
             self._crash_attribution.prune(self.view.servers)
+            self._server_limits.prune(self.view.servers)
--- a/basilwinch/forward/components.py
+++ b/basilwinch/forward/components.py
@@ -28,6 +28,7 @@
     :param member_probe: :class:`~basilwinch.forward.members.MemberProbe`
     :param server_reports: :class:`~basilwinch.forward.reports.ServerReports`
     :param crash_attribution: :class:`~basilwinch.forward.crashes.CrashAttribution`
+    :param server_limits: :class:`~basilwinch.admission.server_limits.ServerLimits`
     """
 
     __slots__ = (
@@ -43,6 +44,7 @@
         "member_probe",
         "server_reports",
         "crash_attribution",
+        "server_limits",
         "capacity_released",
     )
 
@@ -60,6 +62,7 @@
         member_probe,
         server_reports,
         crash_attribution,
+        server_limits,
     ):
         self.view = view
         self.pool = pool
@@ -73,6 +76,7 @@
         self.member_probe = member_probe
         self.server_reports = server_reports
         self.crash_attribution = crash_attribution
+        self.server_limits = server_limits
         self.capacity_released = trio.Event()
 
     def choose_server(self, context: Context, tried):
--- a/basilwinch/forward/plain.py
+++ b/basilwinch/forward/plain.py
@@ -123,11 +123,15 @@
             exchange = context.exchange
             await connection.send(exchange.method, exchange.target, header, exchange.body)
             response = await connection.receive_head()
+            headers = dict(response.headers)
+            components.server_limits.observe(
+                server.id, components.dialect.read_server_limit(headers)
+            )
             body = await connection.receive_body(_MAX_BODY_BYTES)
             reusable = True
             outcome = self._check_response(context, response, body)
             failed = not isinstance(outcome, Answered)
-            return outcome, failed, components.dialect.read_server_load(dict(response.headers))
+            return outcome, failed, components.dialect.read_server_load(headers)
         except ServerError as error:
             await components.crash_attribution.report_failure(server, context.info.id)
             return OutcomeUnknown(error.failure.reason), True, None
--- a/basilwinch/platform/dialect.py
+++ b/basilwinch/platform/dialect.py
@@ -1,6 +1,7 @@
 """HTTP dialect of the platform: header fields, layer orders and server reports."""
 
 import json
+import math
 import re
 
 from basilwinch.forward.message import CallerRequest, ServerLoad
@@ -38,6 +39,8 @@
 
 # An entry of X-Prompt-Prefix: a hexadecimal id of at most 64 digits, and a number of tokens.
 _PROMPT_PART = re.compile(rb"\s*([0-9A-Fa-f]{1,64}):[0-9]{1,9}\s*")
+_DECIMAL = re.compile(rb"[0-9]{1,12}(\.[0-9]{1,12})?")
+_MAX_LIMIT_PER_S = 1e6  # far above what one server can take
 _MAX_PROMPT_PARTS = 64  # a longer prefix is ignored, so that state per request stays small
 
 
@@ -141,6 +144,20 @@
             return None
         return ServerLoad(*(int(part) for part in parts))
 
+    def read_server_limit(self, headers: dict[bytes, bytes]) -> float | None:
+        """Return the requests a second that a server takes from all nodes together.
+
+        :returns: infinity if the server names no limit or one above ``_MAX_LIMIT_PER_S``, None if
+            the field is malformed, which says nothing about the limit
+        """
+        text = headers.get(b"server-limit")
+        if text is None:
+            return math.inf
+        if not _DECIMAL.fullmatch(text.strip()):
+            return None
+        limit = float(text)
+        return limit if limit <= _MAX_LIMIT_PER_S else math.inf
+
     def build_rejection(self, request_id: bytes, retry_after_s: float | None):
         """Return the header of an error response that this node generates."""
         header = [(b"X-Request-Id", request_id)] if request_id else []
