--- a/basilwinch/platform/tests/standin.py
+++ b/basilwinch/platform/tests/standin.py
@@ -41,6 +41,8 @@
         self.headers: list[dict] = []
         self.faults: list[str] = []
         self.crashing_parts: set[bytes] = set()
+        self.limit: bytes | None = None  # requests per second that its answers name
+        self.run_times: list[float] = []
         self.state = "ready"
         self._scope = trio.CancelScope()
 
@@ -266,12 +268,15 @@
         request_id = exchange.headers[b"x-request-id"]
         fault = server.faults.pop(0) if server.faults else ""
         header = [(b"X-Request-Id", request_id)]
+        if server.limit is not None:
+            header.append((b"Server-Limit", server.limit))
         if fault == "full":
             await exchange.respond(503, [*header, (b"X-Not-Executed", b"1")], b"")
             return
         if fault == "mute":
             await trio.sleep_forever()
         server.runs.append(request_id)
+        server.run_times.append(trio.current_time())
         server.headers.append(exchange.headers)
         if fault == "reset":
             _reset(exchange)
