Share among all nodes the limits that servers name

Cause: the nodes chose servers by speed and free memory, did not read the limit, and knew nothing of what the others sent. Change: chains/server_limits.py keeps the limit of each server and decides through admission's Limits and SharedBucket, which share the limits of organisations in the same way. Load reports carry limits, their ages and the rates sent, so a node keeps to a limit before it has seen it itself. Servers at their limit are not chosen, as the head of a chain or at all; if no other is left, the request is refused with Retry-After. The bucket grants nothing below a common level (min_level; without it many nodes hold one unit each), keeps its use when a rate changes, and counts refused requests as demand. Limits expire and go with their servers.

--- a/basilwinch/admission/bucket.py
+++ b/basilwinch/admission/bucket.py
@@ -33,6 +33,8 @@
     :param demand_window_s: time constant of the smoothed demand in seconds
     :param max_debt: units by which the level may fall below zero
     :param now: current time in seconds
+    :param min_level: level below which the node grants nothing, not even from its demand share. A
+        share below one unit still holds one, so without this many nodes exceed a small limit.
 
     Notes: if none of ``n`` nodes receives reports, each grants at most ``max(1, burst / n)`` at
     once and ``rate / n`` a second after that. If reports arrive with a delay, each node may grant
@@ -45,6 +47,7 @@
         "burst",
         "demand_window_s",
         "max_debt",
+        "min_level",
         "coverage",
         "level",
         "local_level",
@@ -65,11 +68,13 @@
         demand_window_s: float,
         max_debt: float,
         now: float,
+        min_level: float = -math.inf,
     ):
         self.rate = rate
         self.burst = burst
         self.demand_window_s = demand_window_s
         self.max_debt = max_debt
+        self.min_level = min_level
         self.coverage = coverage
         # A node that receives reports from only a fraction of the fleet starts with that fraction
         # of the burst.
@@ -118,6 +123,14 @@
         self.level = max(-self.max_debt, min(burst, self.level))
         self.demand *= math.exp(-elapsed / self.demand_window_s)
 
+    def set_rate(self, rate: float, burst: float, max_debt: float) -> None:
+        """Change the limit and keep what has been used of it. Refresh the bucket before."""
+        self.rate = rate
+        self.burst = burst
+        self.max_debt = max_debt
+        self.level = max(-max_debt, min(self.level, burst))
+        self.local_level = max(-max_debt, min(self.local_level, max(1.0, burst)))
+
     def record_demand(self, amount: float) -> None:
         """Add an amount to the demand, whether it is granted or not."""
         self.demand += amount / self.demand_window_s
@@ -135,6 +148,8 @@
         min_free_level = max(required, self.burst * coverage * FREE_GRANT_MIN_LEVEL_RATIO)
         if not contended and self.level >= min_free_level:
             return 0.0
+        if self.level < self.min_level:
+            return (self.min_level - self.level) / max(self.rate * coverage, 1e-9)
         demand_share = self.compute_demand_share()
         required = min(required, max(1.0, self.burst * coverage * demand_share))
         if self.local_level >= required:
--- a/basilwinch/admission/config.py
+++ b/basilwinch/admission/config.py
@@ -17,6 +17,8 @@
         to, if that gives more than ``min_report_interval_s``
     :param max_debt_s: largest excess over the limit that later grants make up for, in seconds of
         the limit. Nodes can exceed the limit until they receive each other's reports.
+    :param min_level: units in the fleet-wide bucket below which no node grants anything, see
+        :class:`~basilwinch.admission.bucket.SharedBucket`
     :param max_queued_per_organisation: largest number of queued requests of one organisation for a
         model
     :param max_queued: largest number of queued requests of one model
@@ -31,6 +33,7 @@
         "min_report_interval_s",
         "report_interval_per_peer_s",
         "max_debt_s",
+        "min_level",
         "max_queued_per_organisation",
         "max_queued",
         "default_slots",
@@ -43,6 +46,7 @@
         "min_report_interval_s": 2.0,
         "report_interval_per_peer_s": 0.6,
         "max_debt_s": 300.0,
+        "min_level": float("-inf"),
         "max_queued_per_organisation": 64,
         "max_queued": 1024,
         "default_slots": 16,
--- a/basilwinch/admission/limits.py
+++ b/basilwinch/admission/limits.py
@@ -62,9 +62,48 @@
             if organisations.get(name) != self._organisations.get(name):
                 del self._states[name]
         self._organisations = organisations
+        self.set_nodes(nodes, report_interval_s)
+
+    def set_nodes(self, nodes: int, report_interval_s: float) -> None:
+        """Set the number of nodes and the seconds between reports."""
         self._nodes = max(1, nodes)
         self._report_interval_s = report_interval_s
 
+    def forget_peer(self, node: str) -> None:
+        """Drop the reports of a node that has ended."""
+        self._peer_reports.pop(node, None)
+        self._organisations_by_peer.pop(node, None)
+
+    def set_request_rate(self, name: str, requests_per_s: float, now: float) -> None:
+        """Add a limit of requests, or change its rate and keep what has been used of it."""
+        rules = self._organisations.get(name) or Organisation(name, "")
+        self._organisations[name] = rules.replace(requests_per_s=requests_per_s)
+        state = self._states.get(name)
+        if state is not None and state.buckets[0] is not None:
+            bucket = state.buckets[0]
+            bucket.refresh(self.compute_coverage(now), now)
+            bucket.set_rate(requests_per_s, *self._compute_bounds(requests_per_s))
+
+    def remove(self, name: str) -> None:
+        """Remove the limits of an organisation, with their state."""
+        self._organisations.pop(name, None)
+        self._states.pop(name, None)
+
+    def check_request(self, name: str, now: float) -> bool:
+        """Return whether one request would be allowed now; one that is not counts as demand."""
+        rules = self._organisations.get(name)
+        if rules is None or not rules.requests_per_s:
+            return True
+        coverage = self.compute_coverage(now)
+        state = self._get_state(rules, coverage, now)
+        state.last_used_at = now
+        bucket = state.buckets[0]
+        bucket.refresh(coverage, now)
+        if bucket.compute_wait(1.0, coverage) <= 0:
+            return True
+        bucket.record_demand(1.0)
+        return False
+
     def organisation(self, name: str) -> Organisation | None:
         """Return the rules of an organisation, or None."""
         return self._organisations.get(name)
@@ -242,7 +281,18 @@
     def _make_bucket(self, rate: float, coverage: float, now: float) -> SharedBucket | None:
         if not rate:
             return None
+        burst, max_debt = self._compute_bounds(rate)
+        return SharedBucket(
+            rate,
+            burst,
+            coverage,
+            self._demand_window_s(),
+            max_debt,
+            now,
+            self._config.min_level,
+        )
+
+    def _compute_bounds(self, rate: float) -> tuple[float, float]:
+        """Return the burst and the maximum debt of a limit."""
         config = self._config
-        burst = max(rate * config.burst_s, config.min_burst)
-        max_debt = rate * config.max_debt_s
-        return SharedBucket(rate, burst, coverage, self._demand_window_s(), max_debt, now)
+        return max(rate * config.burst_s, config.min_burst), rate * config.max_debt_s
--- a/basilwinch/chains/chain_selection.py
+++ b/basilwinch/chains/chain_selection.py
@@ -57,6 +57,7 @@
         prompt_tokens: int,
         avoid=frozenset(),
         cross_zones=True,
+        avoid_heads=frozenset(),
     ):
         """Return a chain as a path, or None if no complete chain has enough free memory.
 
@@ -67,6 +68,7 @@
         :param prompt_tokens: tokens of the prompt, which are processed first
         :param avoid: ids of servers to leave out
         :param cross_zones: whether the chain may cross between zones
+        :param avoid_heads: ids of servers that must not be the first of the chain
         :returns: :class:`~basilwinch.chains.path.Path` or None
 
         Notes
@@ -75,6 +77,8 @@
         """
         paths, weights = [], []
         for chain in self._layouts.get(service, ()):
+            if chain[0].server in avoid_heads:
+                continue
             stages = self._build_stages(chain, entries, engine, avoid)
             if stages is None:
                 continue
--- a/basilwinch/chains/path.py
+++ b/basilwinch/chains/path.py
@@ -41,7 +41,14 @@
         self._load = load
 
     def find(
-        self, servers, engine, tokens: int, prompt_tokens: int, avoid=frozenset(), cross_zones=True
+        self,
+        servers,
+        engine,
+        tokens: int,
+        prompt_tokens: int,
+        avoid=frozenset(),
+        cross_zones=True,
+        avoid_heads=frozenset(),
     ):
         """Return the best path, or None if there is none over servers with enough memory.
 
@@ -51,6 +58,7 @@
         :param prompt_tokens: tokens of the prompt, which are processed first
         :param avoid: ids of servers to leave out
         :param cross_zones: whether the path may cross between zones
+        :param avoid_heads: ids of servers that must not be the first of the path
         :returns: :class:`Path` or None
 
         Notes
@@ -69,9 +77,8 @@
         boundaries = sorted(boundary for boundary in boundaries if 0 <= boundary <= engine.layers)
         if not boundaries or boundaries[0] != 0 or boundaries[-1] != engine.layers:
             return None
-        best = self._solve(
-            stages, boundaries, engine, _ZONE_CROSSING_MS if cross_zones else math.inf
-        )
+        crossing_ms = _ZONE_CROSSING_MS if cross_zones else math.inf
+        best = self._solve(stages, boundaries, engine, crossing_ms, avoid_heads)
         return self._trace_path(best, engine, prompt_tokens)
 
     def _iter_stages(self, servers, engine, avoid):
@@ -83,7 +90,7 @@
                 continue
             yield Stage(entry, kind, engine, self._load)
 
-    def _solve(self, stages, boundaries, engine, crossing_ms: float):
+    def _solve(self, stages, boundaries, engine, crossing_ms: float, avoid_heads):
         """Return the best continuation by boundary and by zone of the member before the boundary.
 
         :returns: cost from the boundary to the last layer in milliseconds for each pass, stage that
@@ -95,7 +102,7 @@
         for stage in stages:
             first, end = stage.entry.layers
             for boundary in boundaries:
-                if first <= boundary < end:
+                if first <= boundary < end and (boundary or stage.entry.id not in avoid_heads):
                     starting[boundary].append(stage)
         for boundary in reversed(boundaries[:-1]):
             options = [
--- a/basilwinch/entry/node.py
+++ b/basilwinch/entry/node.py
@@ -7,9 +7,9 @@
 import structlog
 import trio
 
-from basilwinch.admission.server_limits import ServerLimits
 from basilwinch.chains import ChainSelection, FleetLoad, PathFinder
 from basilwinch.chains.controller import LAYOUT_PREFIX, LayoutController
+from basilwinch.chains.server_limits import ServerLimits
 from basilwinch.chains.zone_link import ZoneLinkBudget
 from basilwinch.entry.metrics import Metrics
 from basilwinch.entry.settings import EntrySettings
@@ -111,6 +111,7 @@
             ),
             DecisionLog(self.metrics.registry),
         )
+        self._server_limits = ServerLimits(clock)
         self._peers = PeerExchange(
             settings.name,
             settings.ip,
@@ -118,6 +119,7 @@
             self._store,
             self.load,
             SuspectExchange(self._suspects, _MAX_SUSPECTS_PER_REPORT, _SUSPECT_RESEND_PERIOD_S),
+            self._server_limits,
             lambda: len(self.view.servers),
             rng,
         )
@@ -135,7 +137,6 @@
         self._member_probe = MemberProbe(clock)
         self._server_reports = ServerReports(self._pool, dialect, clock)
         self._chain_selection = ChainSelection(self.load, rng)
-        self._server_limits = ServerLimits(clock)
         self.metrics.set_limited_servers(self._server_limits.count_limited)
         self._crash_attribution = CrashAttribution(self._suspects, MemberProbe(clock))
         components = Components(
--- a/basilwinch/forward/components.py
+++ b/basilwinch/forward/components.py
@@ -28,7 +28,7 @@
     :param member_probe: :class:`~basilwinch.forward.members.MemberProbe`
     :param server_reports: :class:`~basilwinch.forward.reports.ServerReports`
     :param crash_attribution: :class:`~basilwinch.forward.crashes.CrashAttribution`
-    :param server_limits: :class:`~basilwinch.admission.server_limits.ServerLimits`
+    :param server_limits: :class:`~basilwinch.chains.server_limits.ServerLimits`
     """
 
     __slots__ = (
@@ -80,11 +80,13 @@
         self.capacity_released = trio.Event()
 
     def choose_server(self, context: Context, tried):
-        """Return a plain server that has not been tried, or None.
+        """Return a plain server that has not been tried and is below its limit, or None.
 
         :param tried: ids of servers to leave out
         """
-        return self.server_selection.choose(self.list_servers(context), tried)
+        servers = self.list_servers(context)
+        exhausted = self.server_limits.list_exhausted(server.id for server in servers)
+        return self.server_selection.choose(servers, exhausted | set(tried))
 
     def list_servers(self, context: Context) -> list:
         """Return the entries of the servers of a request's service."""
@@ -105,16 +107,26 @@
         :param cross_zones: whether the path may cross between zones
         """
         engine, prompt_tokens = context.service.engine, context.info.prompt_tokens
+        servers = self.list_servers(context)
+        # Only the first server of a path receives the request.
+        avoid_heads = self.server_limits.list_exhausted(server.id for server in servers)
         if self.load.report_interval_s > _MAX_INTERVAL_FOR_FASTEST_PATH_S:
             entries = self.view.servers
             name = context.service.name
             path = self.chain_selection.find(
-                name, entries, engine, tokens, prompt_tokens, avoid, cross_zones
+                name,
+                entries,
+                engine,
+                tokens,
+                prompt_tokens,
+                avoid,
+                cross_zones,
+                avoid_heads,
             )
             if path is not None:
                 return path
         return self.path_finder.find(
-            self.list_servers(context), engine, tokens, prompt_tokens, avoid, cross_zones
+            servers, engine, tokens, prompt_tokens, avoid, cross_zones, avoid_heads
         )
 
     def signal_released_capacity(self) -> None:
--- a/basilwinch/forward/plain.py
+++ b/basilwinch/forward/plain.py
@@ -50,7 +50,9 @@
                 return refused if last is None else last
             server = self._components.choose_server(context, tried)
             if server is None:
-                failure = NO_SERVER.because("no untried server is available", _RETRY_AFTER_S)
+                failure = NO_SERVER.because(
+                    "no untried server below its limit is available", _RETRY_AFTER_S
+                )
                 return failure if last is None else last
             if context.sends and not self._components.retry_budget.take(context.service.name):
                 failure = BUDGET_SPENT.because(
@@ -112,6 +114,7 @@
         reusable = False
         try:
             context.sends += 1
+            components.server_limits.take(server.id)
             header = components.dialect.build_header(
                 context.exchange.raw_headers,
                 context.exchange.body,
--- a/basilwinch/forward/stream.py
+++ b/basilwinch/forward/stream.py
@@ -263,6 +263,7 @@
         try:
             exchange = context.exchange
             context.sends += 1
+            components.server_limits.take(head.id)
             header = components.dialect.build_header(
                 exchange.raw_headers,
                 exchange.body,
--- a/basilwinch/peers/codec.py
+++ b/basilwinch/peers/codec.py
@@ -1,10 +1,12 @@
 """Encoding of load reports with Cap'n Proto."""
 
+import math
 import pathlib
 
 import capnp
 
 from basilwinch.chains.load import NodeReport, RequestLoad
+from basilwinch.chains.server_limits import ServerUsage
 from basilwinch.exception import MALFORMED_USAGE, Failure
 
 __all__ = ["decode_report", "encode_report"]
@@ -15,18 +17,22 @@
 _schema = capnp.load(str(pathlib.Path(__file__).with_name("schema.capnp")))
 
 
-def encode_report(node: str, sequence: int, report: NodeReport, suspects: bytes = b"") -> bytes:
+def encode_report(
+    node: str, sequence: int, report: NodeReport, suspects: bytes = b"", usage=None
+) -> bytes:
     """Encode a report; numbers above the maximum of a 32-bit field are sent as that maximum.
 
     :param node: name of the reporting node
     :param sequence: sequence number of the report
     :param report: load that the node reports
     :param suspects: entries of suspects
+    :param usage: seconds covered, and :class:`~basilwinch.chains.server_limits.ServerUsage` by hash
+        of the server, or None
 
     >>> data = encode_report("n1", 7, NodeReport({5: RequestLoad(1, 800)}, {9: 0.5}), b"x")
-    >>> node, sequence, report, suspects = decode_report(data)
-    >>> node, sequence, report.shares[5].token_layers, report.avoided, suspects
-    ('n1', 7, 800, {9: 0.5}, b'x')
+    >>> node, sequence, report, suspects, usage = decode_report(data)
+    >>> node, sequence, report.shares[5].token_layers, report.avoided, suspects, usage
+    ('n1', 7, 800, {9: 0.5}, b'x', None)
     """
     message = _schema.LoadReport.new_message(node=node, sequence=sequence, suspects=suspects)
     rows = message.init("shares", len(report.shares))
@@ -38,19 +44,46 @@
     for row, (server_hash, remaining_s) in zip(rows, report.avoided.items(), strict=True):
         row.server = server_hash
         row.forMs = min(_MAX_UINT32, max(0, round(remaining_s * 1000)))
+    if usage is not None:
+        _encode_usage(message, *usage)
     return message.to_bytes_packed()
 
 
-def decode_report(data: bytes) -> tuple[str, int, NodeReport, bytes] | Failure:
+def _encode_usage(message, interval_s: float, by_server: dict[int, ServerUsage]) -> None:
+    message.usageMs = max(1, round(interval_s * 1000))
+    rows = message.init("limited", len(by_server))
+    for row, (server_hash, usage) in zip(rows, by_server.items(), strict=True):
+        row.server = server_hash
+        row.limitPerS = usage.limit_per_s
+        row.ageMs = round(usage.age_s * 1000)
+        row.requestsPerS = usage.requests_per_s
+        row.wantedPerS = usage.wanted_per_s
+
+
+def decode_report(data: bytes) -> tuple | Failure:
     """Decode a report.
 
-    :returns: node, sequence number, report and entries of suspects, or ``MALFORMED_USAGE``
+    :returns: node, sequence number, report, entries of suspects, and usage of servers with a limit
+        or None; or ``MALFORMED_USAGE``
     """
     try:
         message = _schema.LoadReport.from_bytes_packed(data)
         shares = {row.server: RequestLoad(row.requests, row.tokenLayers) for row in message.shares}
         avoided = {row.server: row.forMs / 1000 for row in message.avoided}
         report = NodeReport(shares, avoided)
-        return message.node, message.sequence, report, bytes(message.suspects)
+        usage = _decode_usage(message) if message.usageMs else None
+        return message.node, message.sequence, report, bytes(message.suspects), usage
     except capnp.KjException as error:
         return MALFORMED_USAGE.because(str(error).splitlines()[0])
+
+
+def _decode_usage(message) -> tuple[float, dict[int, ServerUsage]]:
+    """Return the seconds covered and the usage by server, without rows of impossible values."""
+    by_server = {}
+    for row in message.limited:
+        rates = (row.limitPerS, row.requestsPerS, row.wantedPerS)
+        # The comparison is false for NaN.
+        if all(rate >= 0 for rate in rates) and max(rates[1:]) < math.inf:
+            usage = ServerUsage(row.limitPerS, row.ageMs / 1000, *rates[1:])
+            by_server[row.server] = usage
+    return message.usageMs / 1000, by_server
--- a/basilwinch/peers/exchange.py
+++ b/basilwinch/peers/exchange.py
@@ -35,6 +35,7 @@
     :param store: key-value service
     :param load: :class:`~basilwinch.chains.load.FleetLoad`
     :param suspects: :class:`~basilwinch.suspicion.SuspectExchange`
+    :param server_limits: :class:`~basilwinch.chains.server_limits.ServerLimits`
     :param count_servers: function that returns the number of registered servers
     :param rng: random number generator for the jitter of renewals
     """
@@ -46,6 +47,7 @@
         "_store",
         "_load",
         "_suspects",
+        "_server_limits",
         "_count_servers",
         "_peers",
         "_sequence",
@@ -55,13 +57,14 @@
         "_rng",
     )
 
-    def __init__(self, name, ip, port, store, load, suspects, count_servers, rng):
+    def __init__(self, name, ip, port, store, load, suspects, server_limits, count_servers, rng):
         self._name = name
         self._ip = ip
         self._port = port
         self._store = store
         self._load = load
         self._suspects = suspects
+        self._server_limits = server_limits
         self._count_servers = count_servers
         self._rng = rng
         self._sequence = 0
@@ -87,6 +90,7 @@
             return
         if value is None:
             self._peers.pop(name, None)
+            self._server_limits.forget_node(name)
             return
         try:
             self._peers[name] = json.loads(value)["ip"]
@@ -133,10 +137,12 @@
                 _MIN_REPORT_INTERVAL_S, len(peers) / _MAX_REGULAR_DATAGRAMS_PER_S
             )
             await self._wait_until_report_is_due()
+            self._server_limits.set_nodes(self.node_count, self._load.report_interval_s)
             report, suspects = self._build_report()
-            is_empty = not report.shares and not report.avoided and not suspects
+            usage = self._server_limits.build_report()
+            is_empty = not (report.shares or report.avoided or suspects or usage[1])
             if not is_empty or not last_was_empty:
-                await self._send_report(sock, peers, report, suspects)
+                await self._send_report(sock, peers, report, suspects, usage)
             last_was_empty = is_empty
 
     def _build_report(self) -> tuple:
@@ -144,9 +150,9 @@
         suspects = self._suspects.export(_MAX_SUSPECT_BYTES, trio.current_time())
         return self._load.build_report(self._count_servers()), suspects
 
-    async def _send_report(self, sock, peers: dict[str, str], report, suspects: bytes) -> None:
+    async def _send_report(self, sock, peers: dict[str, str], report, suspects, usage=None):
         self._sequence += 1
-        data = encode_report(self._name, self._sequence, report, suspects)
+        data = encode_report(self._name, self._sequence, report, suspects, usage)
         for name, ip in peers.items():
             try:
                 await sock.sendto(data, (ip, self._port))
@@ -188,8 +194,10 @@
             if not message:
                 self._log.warning("load report malformed", reason=message.reason)
                 continue
-            node, _, report, suspects = message
+            node, _, report, suspects, usage = message
             self._load.apply_report(node, report)
+            if usage is not None and node in self._peers:
+                self._server_limits.apply_report(node, *usage)
             if suspects:
                 await self._merge_suspects(sock, node, suspects)
 
--- a/basilwinch/peers/schema.capnp
+++ b/basilwinch/peers/schema.capnp
@@ -8,6 +8,9 @@
   shares @2 :List(Share);
   avoided @3 :List(Avoided);
   suspects @4 :Data;
+  # 0 if the report has no usage of servers with a limit; an empty list then says nothing.
+  usageMs @5 :UInt32;
+  limited @6 :List(Limited);
 
   struct Share {
     server @0 :UInt32;
@@ -19,4 +22,12 @@
     server @0 :UInt32;
     forMs @1 :UInt32;
   }
+
+  struct Limited {
+    server @0 :UInt32;
+    limitPerS @1 :Float32;
+    ageMs @2 :UInt32;
+    requestsPerS @3 :Float32;
+    wantedPerS @4 :Float32;
+  }
 }
