Refuse a suspect before it waits for a chain

Callers of requests that were going to be refused waited up to half of their objective for a free chain. Cause: suspects were assessed after a path had been found, and a retry was taken for them. Change: they are assessed before and, as evidence may arrive meanwhile, again after the wait. Plain requests that try a suspected part are marked as such. Large bodies are hashed as bytes.

--- a/basilwinch/forward/crashes.py
+++ b/basilwinch/forward/crashes.py
@@ -1,5 +1,6 @@
 """Attribution of server crashes to the requests that this node had sent to the server."""
 
+import hashlib
 import itertools
 
 import structlog
@@ -112,7 +113,7 @@
         context.request_digest = digest_request(
             context.organisation or "",
             f"{exchange.method.decode('latin-1')} {exchange.target.decode('latin-1')}",
-            exchange.body.decode("latin-1"),
+            hashlib.blake2b(exchange.body, digest_size=16).hexdigest(),
         )
     return context.request_digest
 
--- a/basilwinch/forward/plain.py
+++ b/basilwinch/forward/plain.py
@@ -45,9 +45,9 @@
         runs = not_run_attempts = 0
         last: Answered | Failure | None = None
         while True:
-            refused = self._components.crash_attribution.assess(context)
-            if isinstance(refused, Failure):
-                return refused if last is None else last
+            trial = self._components.crash_attribution.assess(context)
+            if isinstance(trial, Failure):
+                return trial if last is None else last
             server = self._components.choose_server(context, tried)
             if server is None:
                 failure = NO_SERVER.because(
@@ -62,7 +62,7 @@
             tried.add(server.id)
             retryable = context.route.kind is RouteKind.IDEMPOTENT
             may_retry = retryable and runs + 1 < context.route.max_attempts
-            outcome = await self._attempt(context, server, may_retry)
+            outcome = await self._attempt(context, server, may_retry, trial)
             if isinstance(outcome, Answered) and (outcome.status < 500 or not may_retry):
                 return outcome
             last = self._select_result(outcome, last)
@@ -78,7 +78,9 @@
             if not may_retry or trio.current_time() >= context.deadline - _RESPONSE_MARGIN_S:
                 return last
 
-    async def _attempt(self, context, server, may_retry) -> Answered | NotRun | OutcomeUnknown:
+    async def _attempt(
+        self, context, server, may_retry, trial
+    ) -> Answered | NotRun | OutcomeUnknown:
         now = trio.current_time()
         limit = context.deadline - _RESPONSE_MARGIN_S
         if may_retry:
@@ -87,7 +89,7 @@
         selection.begin(server.id)
         context.servers.append(server.id)
         failed, load = None, None
-        suspect_attempt = self._components.crash_attribution.begin(context, [server.id], False)
+        suspect_attempt = self._components.crash_attribution.begin(context, [server.id], trial)
         try:
             with trio.move_on_at(limit):
                 outcome, failed, load = await self._send_request(context, server)
--- a/basilwinch/forward/stream.py
+++ b/basilwinch/forward/stream.py
@@ -96,11 +96,14 @@
         context = self._context
         failure: Failure | None = None
         while self._attempts < _MAX_ATTEMPTS:
-            path = await self._take_path()
-            trial = await self._assess() if path else False
-            refused = path if isinstance(path, Failure) else trial
-            if isinstance(refused, Failure):
-                return self._finalize_failure(refused if failure is None else failure)
+            refused = await self._assess()
+            path = refused if isinstance(refused, Failure) else await self._take_path()
+            if isinstance(path, Failure):
+                return self._finalize_failure(path if failure is None else failure)
+            # Assessed again, as evidence may have arrived while the request waited for a path.
+            trial = self._components.crash_attribution.assess(context)
+            if isinstance(trial, Failure):
+                return self._finalize_failure(trial if failure is None else failure)
             self._attempts += 1
             self._attempt_events = 0
             attempt_started = trio.current_time()
@@ -137,14 +140,17 @@
             return OUTCOME_UNKNOWN.because(failure.reason)
         return failure
 
-    async def _assess(self) -> bool | Failure:
-        """Return whether the next attempt tries a suspected part, or why the request is refused."""
+    async def _assess(self):
+        """Return a failure if the request is refused as a suspect, else any other value.
+
+        A request that was lost with its server waits for what other nodes know of its parts.
+        """
         crash_attribution = self._components.crash_attribution
-        trial = crash_attribution.assess(self._context)
-        if isinstance(trial, Failure) and self._attempts:
+        refused = crash_attribution.assess(self._context)
+        if isinstance(refused, Failure) and self._attempts:
             await trio.sleep(_VOUCH_WAIT_S)
-            trial = crash_attribution.assess(self._context)
-        return trial
+            refused = crash_attribution.assess(self._context)
+        return refused
 
     def _count_reserved_tokens(self) -> int:
         info = self._context.info
--- a/basilwinch/platform/tests/test_crashes.py
+++ b/basilwinch/platform/tests/test_crashes.py
@@ -4,6 +4,7 @@
 import trio
 
 from basilwinch.exception import ServerError
+from basilwinch.suspicion import digest_part
 
 CRASHING_PART = b"dead0001"
 
@@ -29,6 +30,23 @@
     return send_stream
 
 
+def test_request_with_a_convicted_part_is_refused_at_once_while_no_chain_is_free(run_with, send):
+    """Guards against a request that waits for a chain although it will be refused."""
+
+    async def test(site):
+        site.node._suspects.apply_stored_conviction(
+            digest_part(CRASHING_PART.decode()), 60.0, trio.current_time()
+        )
+        for server in site.platform.servers:
+            site.node.load.suspect(server.id, "test")
+        start = trio.current_time()
+        assert await send(site, 1, b"f1", CRASHING_PART) == -503
+        assert trio.current_time() - start < 0.15
+        assert not [run for server in site.platform.servers for run in server.runs]
+
+    run_with(test)
+
+
 def test_requests_with_a_crashing_part_cost_two_servers_at_most(run_with, send):
     """Guards against a part of a prompt that crashes chain after chain in different requests."""
 
