--- a/basilwinch/forward/components.py
+++ b/basilwinch/forward/components.py
@@ -85,8 +85,14 @@
         :param tried: ids of servers to leave out
         """
         servers = self.list_servers(context)
-        exhausted = self.server_limits.list_exhausted(server.id for server in servers)
-        return self.server_selection.choose(servers, exhausted | set(tried))
+        return self.server_selection.choose(servers, self._list_exhausted(servers) | set(tried))
+
+    def _list_exhausted(self, servers) -> set[str]:
+        return self.server_limits.list_exhausted(server.id for server in servers)
+
+    def count_exhausted(self, context: Context) -> int:
+        """Return the number of servers of a request's service that are at their limit."""
+        return len(self._list_exhausted(self.list_servers(context)))
 
     def list_servers(self, context: Context) -> list:
         """Return the entries of the servers of a request's service."""
@@ -109,7 +115,7 @@
         engine, prompt_tokens = context.service.engine, context.info.prompt_tokens
         servers = self.list_servers(context)
         # Only the first server of a path receives the request.
-        avoid_heads = self.server_limits.list_exhausted(server.id for server in servers)
+        avoid_heads = self._list_exhausted(servers)
         if self.load.report_interval_s > _MAX_INTERVAL_FOR_FASTEST_PATH_S:
             entries = self.view.servers
             name = context.service.name
