--- a/basilwinch/forward/stream.py
+++ b/basilwinch/forward/stream.py
@@ -214,10 +214,11 @@
                 continue
             now = trio.current_time()
             if now >= wait_until:
-                wait_s = objective_s * _MAX_WAIT_FRACTION
+                exhausted = components.count_exhausted(context)
                 return QUEUE_FULL.because(
                     f"no chain had free KV cache for {tokens} tokens before the deadline or within "
-                    f"{wait_s:.2f} s; servers at their limit: {components.count_exhausted(context)}",
+                    f"{objective_s * _MAX_WAIT_FRACTION:.2f} s; "
+                    f"servers at their limit: {exhausted}",
                     self._draw_retry_after_s(),
                 )
             with trio.move_on_at(min(wait_until, now + _CAPACITY_POLL_S)):
