Decode load reports without the reader that ends the process

Cause: the library's reader of packed messages throws from a destructor on a truncated message. A name that is not UTF-8 raised an exception that nothing caught. Change: peers/packing.py unpacks the message, with limits, and the library reads the plain words, whose errors are exceptions. The format on the wire is the same.

--- a/basilwinch/peers/codec.py
+++ b/basilwinch/peers/codec.py
@@ -8,6 +8,7 @@
 from basilwinch.chains.load import NodeReport, RequestLoad
 from basilwinch.chains.server_limits import ServerUsage
 from basilwinch.exception import MALFORMED_USAGE, Failure
+from basilwinch.peers.packing import unpack
 
 __all__ = ["decode_report", "encode_report"]
 
@@ -67,16 +68,20 @@
         or None; or ``MALFORMED_USAGE``
     """
     try:
-        message = _schema.LoadReport.from_bytes_packed(data)
-        shares = {row.server: RequestLoad(row.requests, row.tokenLayers) for row in message.shares}
-        avoided = {row.server: row.forMs / 1000 for row in message.avoided}
-        report = NodeReport(shares, avoided)
-        usage = _decode_usage(message) if message.usageMs else None
-        return message.node, message.sequence, report, bytes(message.suspects), usage
-    except capnp.KjException as error:
+        with _schema.LoadReport.from_bytes(unpack(data)) as message:
+            return _read_message(message)
+    except (capnp.KjException, ValueError) as error:
         return MALFORMED_USAGE.because(str(error).splitlines()[0])
 
 
+def _read_message(message) -> tuple:
+    shares = {row.server: RequestLoad(row.requests, row.tokenLayers) for row in message.shares}
+    avoided = {row.server: row.forMs / 1000 for row in message.avoided}
+    report = NodeReport(shares, avoided)
+    usage = _decode_usage(message) if message.usageMs else None
+    return message.node, message.sequence, report, bytes(message.suspects), usage
+
+
 def _decode_usage(message) -> tuple[float, dict[int, ServerUsage]]:
     """Return the seconds covered and the usage by server, without rows of impossible values."""
     by_server = {}
--- /dev/null
+++ b/basilwinch/peers/tests/test_codec.py
@@ -0,0 +1,65 @@
+"""Tests of the decoding of load reports, which are not authenticated."""
+
+import random
+import subprocess
+import sys
+
+import pytest
+
+from basilwinch.chains.load import NodeReport, RequestLoad
+from basilwinch.exception import Failure
+from basilwinch.peers.codec import decode_report, encode_report
+
+REPORT = encode_report("node", 7, NodeReport({5: RequestLoad(1, 800)}, {9: 0.5}), b"suspects")
+# A truncated packed message, on which the reader of the library ends the process.
+TRUNCATED = "010b500103010711091a11091711110f036e31110402119e01a120031104013109f401"
+
+
+def test_malformed_report_does_not_end_the_process():
+    """Guards against one datagram, of any sender, that ends a node."""
+    code = (
+        "from basilwinch.peers.codec import decode_report\n"
+        f"assert not decode_report(bytes.fromhex({TRUNCATED!r}))"
+    )
+    assert subprocess.run([sys.executable, "-c", code], check=False).returncode == 0
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_damaged_report_is_decoded_or_refused(seed):
+    """Guards against datagrams on which the decoder fails in any other way."""
+    rng = random.Random(seed)
+    for _ in range(500):
+        data = bytearray(REPORT)
+        for _ in range(rng.randint(1, 4)):
+            data[rng.randrange(len(data))] = rng.randrange(256)
+        report = decode_report(bytes(data[: rng.randint(0, len(data))]))
+        assert isinstance(report, (tuple, Failure))
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"\x00",
+        b"\xff",
+        b"\x00\xff" * 30_000,
+        b"\xff" + b"\xff" * 8 + b"\xff",
+        REPORT.replace(b"node", b"n\xffde"),
+    ],
+)
+def test_report_that_cannot_be_read_is_refused(data):
+    """Guards against truncated or inflated messages, and names that are not UTF-8."""
+    assert not decode_report(data)
+
+
+def test_report_survives_packing():
+    """Guards against an unpacking that differs from the packing of other nodes."""
+    shares = {number: RequestLoad(number, number << 8) for number in range(200)}
+    report = decode_report(
+        encode_report("node", 1 << 40, NodeReport(shares, {}), bytes(range(256)))
+    )
+    assert report[:2] == ("node", 1 << 40)
+    assert {s: load.token_layers for s, load in report[2].shares.items()} == {
+        number: number << 8 for number in range(200)
+    }
+    assert report[3] == bytes(range(256))
