Refuse load reports that claim more rows than they can hold

Cause: a list of empty rows takes no bytes, and its rows were read one by one, up to millions. Change: a report with a list of more than 16,384 rows is malformed.

--- a/basilwinch/peers/codec.py
+++ b/basilwinch/peers/codec.py
@@ -12,6 +12,8 @@
 
 __all__ = ["decode_report", "encode_report"]
 
+# A list of empty rows takes no bytes, so a damaged message may claim any number of them.
+_MAX_ROWS = 1 << 14
 _MAX_UINT32 = (1 << 32) - 1
 
 capnp.remove_import_hook()
@@ -75,6 +77,9 @@
 
 
 def _read_message(message) -> tuple:
+    for rows in (message.shares, message.avoided, message.limited):
+        if len(rows) > _MAX_ROWS:
+            raise ValueError(f"report has a list of {len(rows)} rows, at most {_MAX_ROWS} allowed")
     shares = {row.server: RequestLoad(row.requests, row.tokenLayers) for row in message.shares}
     avoided = {row.server: row.forMs / 1000 for row in message.avoided}
     report = NodeReport(shares, avoided)
--- a/basilwinch/peers/tests/test_codec.py
+++ b/basilwinch/peers/tests/test_codec.py
@@ -63,3 +63,19 @@
         number: number << 8 for number in range(200)
     }
     assert report[3] == bytes(range(256))
+
+
+def test_report_that_claims_more_rows_than_it_has_bytes_is_refused():
+    """Guards against a small datagram that keeps a node busy for minutes."""
+    rows = 1 << 20
+    list_pointer = (1 | rows << 35).to_bytes(8, "little")  # a list of rows without any bytes
+    words = [
+        (8 << 32).to_bytes(8, "little"),  # one segment of eight words
+        (2 << 32 | 5 << 48).to_bytes(8, "little"),  # a structure of two words and five pointers
+        bytes(24),
+        list_pointer,
+        bytes(24),
+    ]
+    message = b"".join(words)
+    packed = b"".join(b"\xff" + message[at : at + 8] + b"\x00" for at in range(0, len(message), 8))
+    assert not decode_report(packed)
