Split the registry of suspects: values of isolation, and comparison of parts

Change: suspicion/isolation.py has the values that say how an attempt runs, suspicion/part.py the known parts and the functions that compare suspected ones. Behaviour is unchanged.

--- a/basilwinch/suspicion/__init__.py
+++ b/basilwinch/suspicion/__init__.py
@@ -2,12 +2,8 @@
 
 from basilwinch.suspicion.evidence import SuspectEntry, digest_part, digest_request
 from basilwinch.suspicion.exchange import SuspectExchange
-from basilwinch.suspicion.registry import (
-    IsolationClaim,
-    IsolationWait,
-    NextAttempt,
-    SuspectRegistry,
-)
+from basilwinch.suspicion.isolation import IsolationClaim, IsolationWait, NextAttempt
+from basilwinch.suspicion.registry import SuspectRegistry
 from basilwinch.suspicion.settings import SuspectConfig
 
 __all__ = [
--- a/basilwinch/suspicion/registry.py
+++ b/basilwinch/suspicion/registry.py
@@ -6,7 +6,6 @@
 
 from basilwinch.exception import CRASH_SUSPECT, REQUEST_QUARANTINED, Failure
 from basilwinch.observability import DecisionLog
-from basilwinch.record import Record
 from basilwinch.suspicion.evidence import (
     Evidence,
     Loss,
@@ -16,9 +15,11 @@
     pack,
     unpack,
 )
+from basilwinch.suspicion.isolation import IsolationClaim, IsolationWait, NextAttempt
+from basilwinch.suspicion.part import KnownParts, is_ambiguous, list_lost_parts
 from basilwinch.suspicion.settings import SuspectConfig
 
-__all__ = ["IsolationClaim", "IsolationWait", "NextAttempt", "SuspectRegistry"]
+__all__ = ["SuspectRegistry"]
 
 _POLL_INTERVAL_S = 0.02
 _CRC32_RANGE = 1 << 32
@@ -28,29 +29,6 @@
 _RECENT_FRAME_S = 1.0  # see min_attempt_age_s
 
 
-class IsolationClaim(Record):
-    """This node has claimed the isolation; it is confirmed after ``delay_s`` seconds."""
-
-    __slots__ = ("delay_s",)
-
-
-class IsolationWait(Record):
-    """Whether the attempt must be isolated can be asked again after ``delay_s`` seconds."""
-
-    __slots__ = ("delay_s",)
-
-
-class NextAttempt(Record):
-    """The attempt for which isolation is checked.
-
-    :param retry: whether an earlier attempt of its run has failed
-    :param asked_at: time of the first check, in seconds
-    :param remaining_s: seconds left for the request
-    """
-
-    __slots__ = ("retry", "asked_at", "remaining_s")
-
-
 class _RunningAttempt:
     """An attempt in progress on this node."""
 
@@ -120,8 +98,7 @@
         self._hold_elsewhere_s = config.part_hold_elsewhere_s * (
             1 + zlib.crc32(config.node.encode()) / _CRC32_RANGE
         )
-        #: Time of the last progress of a request with the part, by digest, oldest first.
-        self._known_parts: dict[str, float] = {}
+        self._known_parts = KnownParts(config.max_known_parts, config.part_history_s)
         #: Run id of the request that tries a suspected part now, by digest of the part.
         self._trials: dict[str, str] = {}
         self.on_change = on_change
@@ -243,32 +220,10 @@
         config = self._config
         strike, at = max(evidence.open_strikes(), key=lambda item: item[1])
         own = strike.node == config.node
-        if any(lost_parts <= set(parts) for lost_parts in self._list_lost_parts(evidence)):
+        if any(lost <= set(parts) for lost in list_lost_parts(evidence, self._evidence)):
             return at + (config.part_hold_s if own else self._hold_elsewhere_s)
         return at + (0.0 if own else config.part_contrast_delay_s)
 
-    def _list_lost_parts(self, evidence: Evidence) -> list[frozenset[str]]:
-        """Return the unknown parts of each request that was lost with a suspected part.
-
-        If another request on the same server had the same unknown parts and more, the smaller set
-        is left out, as the larger one explains the loss as well. Linear in the suspects.
-        """
-        by_strike: dict[str, set[str]] = {strike.id: set() for strike, _ in evidence.open_strikes()}
-        for digest, other in self._evidence.items():
-            if is_part(digest):
-                for strike, _ in other.open_strikes():
-                    if strike.id in by_strike:
-                        by_strike[strike.id].add(digest)
-        lost = [
-            (strike.server, frozenset(by_strike[strike.id]))
-            for strike, _ in evidence.open_strikes()
-        ]
-        return [
-            parts
-            for server, parts in lost
-            if not any(server == other_server and parts < larger for other_server, larger in lost)
-        ]
-
     def _refuse(self, digest: str, wait_s: float, why: str) -> Failure:
         return CRASH_SUSPECT.because(
             f"{digest} {why}; refused for {wait_s:.1f} s", wait_s, digest=digest
@@ -276,10 +231,7 @@
 
     def _record_progress(self, part: str, now: float) -> None:
         """Record that a request with the part made progress, which clears the part."""
-        self._known_parts.pop(part, None)
-        self._known_parts[part] = now
-        while len(self._known_parts) > self._config.max_known_parts:
-            del self._known_parts[next(iter(self._known_parts))]
+        self._known_parts.add(part, now)
         evidence = self._evidence.get(part)
         if evidence is not None and evidence.active_strikes():
             self._clear_part(part, evidence)
@@ -292,7 +244,7 @@
 
     def _vouch(self, digest: str, evidence: Evidence, now: float) -> bool:
         """Clear a part, or vouch for it, by what this node knows; return whether that is new."""
-        progress_at = self._find_progress(digest, now)
+        progress_at = self._known_parts.find_progress(digest, now)
         active = [at for id, (_, at) in evidence.strikes.items() if id not in evidence.cleared]
         if progress_at is None or not active:
             return False
@@ -303,14 +255,9 @@
         evidence.vouched = True
         return is_new
 
-    def _find_progress(self, part: str, now: float) -> float | None:
-        """Return the time of the last progress with a part, or None if there is none lately."""
-        at = self._known_parts.get(part)
-        return at if at is not None and now - at <= self._config.part_history_s else None
-
     # Attempts of a request.
 
-    def check_isolation(self, digest: str, run_id: str, attempt: "NextAttempt", now: float):
+    def check_isolation(self, digest: str, run_id: str, attempt: NextAttempt, now: float):
         """Return whether the next attempt of a request must be isolated.
 
         :param digest: digest of the request
@@ -512,7 +459,7 @@
             if part in self._evidence and self._evidence[part].convicted_at is not None
         ]
         for part in convicted or running.parts:
-            unknown = self._find_progress(part, now) is None
+            unknown = self._known_parts.find_progress(part, now) is None
             self._add_strike(part, strike.replace(isolated=running.trial, unknown=unknown), now)
 
     def _add_strike(self, digest: str, strike: Strike, now: float) -> None:
@@ -568,24 +515,7 @@
             if is_part(digest) and (evidence.active_strikes() or evidence.convicted_at is not None)
         }
         for digest, evidence in struck.items():
-            self._update_conviction(digest, evidence, now, self._is_ambiguous(digest, struck))
-
-    def _is_ambiguous(self, part: str, struck: dict[str, Evidence]) -> bool:
-        """Return whether another part that is not convicted explains the same events as well.
-
-        A known part explains them less well than an unknown one.
-        """
-        evidence = struck[part]
-        if evidence.convicted_at is not None:
-            return False
-        servers, unknown = evidence.lost_servers(), bool(evidence.open_strikes())
-        return any(
-            digest != part
-            and other.convicted_at is None
-            and (not unknown or other.open_strikes())
-            and servers <= other.lost_servers()
-            for digest, other in struck.items()
-        )
+            self._update_conviction(digest, evidence, now, is_ambiguous(digest, struck))
 
     def _update_conviction(
         self, digest: str, evidence: Evidence, now: float, ambiguous: bool = False
