Refuse suspect entries with long names

Cause: digests and names in the entries of peers were kept at any length that fits a message, so 2,000 entries of an unauthenticated sender could take tens of megabytes. Change: a digest or name of over 1,024 characters makes the message malformed. Result: two new cases of test_malformed_entries_are_refused failed before and pass; 75 tests of suspicion, relay and peers pass.

--- a/basilwinch/suspicion/evidence.py
+++ b/basilwinch/suspicion/evidence.py
@@ -24,6 +24,7 @@
 
 # Enough for 64 suspects with three strikes each.
 MAX_UNPACKED_BYTES = 1 << 16
+_MAX_TEXT_CHARACTERS = 1024  # a stall names all servers of a chain, 32 at most
 _MAX_STRIKES = 64  # kept per suspect; conviction needs three at most
 _PART_PREFIX = "part:"
 # Parts that always came together are all refused after this many events; with fewer, a request with
@@ -154,12 +155,12 @@
 def _read_entry(digest, strikes, cleared, left_s, tests, vouched=False) -> SuspectEntry:
     """Return an entry from the values of its row; nodes of older versions send no last value."""
     return SuspectEntry(
-        str(digest),
+        _read_text(digest),
         tuple(_read_strike(*row) for row in strikes),
-        tuple(map(str, cleared)),
+        tuple(map(_read_text, cleared)),
         _read_seconds(left_s),
         tuple(
-            (str(node), int(number), _read_seconds(left), tuple(map(str, servers)))
+            (_read_text(node), int(number), _read_seconds(left), tuple(map(_read_text, servers)))
             for node, number, left, servers in tests
         ),
         bool(vouched),
@@ -169,10 +170,27 @@
 def _read_strike(id, server, loss, strong, isolated, age_s, unknown=False) -> Strike:
     seconds = _read_seconds(age_s)
     return Strike(
-        str(id), str(server), Loss(loss), bool(strong), bool(isolated), seconds, bool(unknown)
+        _read_text(id),
+        _read_text(server),
+        Loss(loss),
+        bool(strong),
+        bool(isolated),
+        seconds,
+        bool(unknown),
     )
 
 
+def _read_text(value) -> str:
+    """Return a name or digest.
+
+    :raises ValueError: if it is too long to be kept
+    """
+    text = str(value)
+    if len(text) > _MAX_TEXT_CHARACTERS:
+        raise ValueError(f"name has {len(text)} characters, at most {_MAX_TEXT_CHARACTERS} allowed")
+    return text
+
+
 def _read_seconds(value) -> float:
     """Return a duration; a negative one becomes 0.
 
--- a/basilwinch/suspicion/tests/test_parts.py
+++ b/basilwinch/suspicion/tests/test_parts.py
@@ -199,6 +199,8 @@
     "rows",
     [
         [["d"]],
+        [["d" * 2000, *ROW[1:]]],
+        [["d", [["n" * 2000, "s", "death", True, False, 0.5]], [], 9.0, []]],
         [[*ROW[:3], float("nan"), [], False]],
         [[*ROW[:3], float("inf"), [], False]],
         [["d", [["n/1", "s", "death", True, False, float("nan"), True]], [], 9.0, []]],
