Failing tests: routes and keys denied by a view that is out of date

Callers saw: a final 404 or 401 for a route or key that the other nodes already served. Cause: not fixed here. Two are reproduced: nothing bounds the age of a view from which a node denies, and a node waits for one dead connection to the store after the other.

--- a/basilwinch/platform/tests/standin.py
+++ b/basilwinch/platform/tests/standin.py
@@ -97,6 +97,8 @@
         self.changed = trio.Event()
         self.servers: list[StandinServer] = []
         self.outage_status: int | None = None  # sent to all calls if set; 0 sends no answer
+        self._store_connections: set = set()
+        self._silent_connections: set = set()
         self.calls = 0
         self.port = 0
         self.put("op/config", json.dumps(configuration).encode())
@@ -105,7 +107,20 @@
         """Serve the store."""
         listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
         self.port = listeners[0].socket.getsockname()[1]
-        nursery.start_soon(trio.serve_listeners, self._serve_with(self._answer), listeners)
+        nursery.start_soon(trio.serve_listeners, self._serve_store, listeners)
+
+    async def _serve_store(self, stream) -> None:
+        connection = CallerConnection(stream, self._answer, CallerLimits)
+        self._store_connections.add(connection)
+        try:
+            await connection.run()
+        finally:
+            self._store_connections.discard(connection)
+            self._silent_connections.discard(connection)
+
+    def silence_connections(self) -> None:
+        """Let open connections to the store carry nothing more, without a reset; new ones work."""
+        self._silent_connections |= self._store_connections
 
     async def add_server(self, nursery, server_id, service, kind=None) -> StandinServer:
         """Start a server and register it."""
@@ -183,7 +198,11 @@
         body = json.loads(exchange.body) if exchange.body else {}
         name = path.rsplit("/", 1)[-1] if path.count("/") == 3 else ""
         call = path.removesuffix(f"/{name}") if name else path
+        if exchange._connection in self._silent_connections:
+            await trio.sleep_forever()
         status, fields = await self._handlers()[call](query, body, name)
+        if exchange._connection in self._silent_connections:
+            await trio.sleep_forever()
         await exchange.respond(status, [], json.dumps(fields).encode())
 
     def _handlers(self) -> dict:
