Log the age of the view with each refusal

Cause: the log of a refused request named the version of the configuration, but not how old the view was from which it was refused, so a denial by an old view looked like any other. Change: view_age_s in the line of each refusal, null if the view was never complete. Result: tests of refusals pass; no decision changed.

--- a/basilwinch/forward/forwarder.py
+++ b/basilwinch/forward/forwarder.py
@@ -154,8 +154,14 @@
             request=info.id.decode("latin-1"),
             outcome=failure.code,
             reason=failure.reason,
+            view_age_s=self._read_view_age(),
         )
 
+    def _read_view_age(self) -> float | None:
+        """Return the age of the view in seconds for the log, None if it was never complete."""
+        view = self._components.view
+        return round(view.age(read_boot_clock()), 2) if view.is_loaded else None
+
     def _record_request(self, context: Context, started_at: float) -> None:
         duration_s = trio.current_time() - started_at
         kind = context.route.kind.value
