Deny no route or key from a view that is out of date

Callers saw: a final 404 for a route, or 401 for a key, that other nodes served (CONFIG: refused as an older version says). Cause: a 404 or 401 was given at any age of the view, also before the first complete read. Only known keys were refused after a limit. Callers do not come back after either status. Change: a denial needs a view that was confirmed within config-apply-ms, else it is 503 with a short Retry-After. A view confirmed less than that before the request contains every version acknowledged more than that before it, so the bound needs no margin.

--- a/basilwinch/entry/settings.py
+++ b/basilwinch/entry/settings.py
@@ -23,6 +23,7 @@
     :param retry_ratio: retries allowed for each request, over all nodes
     :param retry_window_s: length of the sliding window of the retry budget, in seconds
     :param retry_slack: further retries allowed in a window, over all nodes
+    :param config_apply_s: time after which a new configuration must be in force, in seconds
     """
 
     __slots__ = (
@@ -32,6 +33,7 @@
         "retry_ratio",
         "retry_window_s",
         "retry_slack",
+        "config_apply_s",
     )
 
 
--- a/basilwinch/forward/forwarder.py
+++ b/basilwinch/forward/forwarder.py
@@ -12,6 +12,7 @@
     UNKNOWN_SERVICE,
     WRONG_KEY,
     Failure,
+    FailureKind,
 )
 from basilwinch.forward.context import Context
 from basilwinch.forward.outcome import Answered
@@ -81,9 +82,10 @@
         path = exchange.target.partition(b"?")[0].decode("latin-1")
         route = configuration.find_route(host, path)
         if route is None:
-            return NOT_FOUND.because(
+            return self._deny(
+                NOT_FOUND,
                 f"no route for host {host!r} and path {path!r} in configuration version "
-                f"{configuration.version}"
+                f"{configuration.version}",
             )
         organisation = None
         if configuration.organisations is not None and not route.open:
@@ -99,14 +101,15 @@
                 )
             organisation = configuration.organisations.get(info.key)
             if organisation is None:
-                return WRONG_KEY.because(
-                    f"key is not in configuration version {configuration.version}"
+                return self._deny(
+                    WRONG_KEY, f"key is not in configuration version {configuration.version}"
                 )
         service = configuration.services.get(self._choose_target(route))
         if service is None:
-            return UNKNOWN_SERVICE.because(
+            return self._deny(
+                UNKNOWN_SERVICE,
                 f"the chosen target of route {route.name} is not a service of configuration "
-                f"version {configuration.version}; targets and weights: {route.targets}"
+                f"version {configuration.version}; targets and weights: {route.targets}",
             )
         priority = route.priority
         if organisation is not None and organisation.priority is not None:
@@ -115,6 +118,20 @@
         version = configuration.version
         return Context(exchange, info, route, service, name, priority, now, version)
 
+    def _deny(self, kind: FailureKind, reason: str) -> Failure:
+        """Return a final refusal, or one that can be retried if the view may be out of date.
+
+        A caller does not come back after a final refusal. With a view confirmed within the time
+        that a new configuration may take, each configuration that must be in force is known.
+        """
+        age_s = self._components.view.age(read_boot_clock())
+        if age_s < self._bounds.config_apply_s:
+            return kind.because(reason)
+        return STALE_CONFIGURATION.because(
+            f"{reason}; view is {age_s:.2f} s old, limit {self._bounds.config_apply_s:.2f} s",
+            OTHER_NODE_RETRY_AFTER_S,
+        )
+
     def _choose_target(self, route) -> str:
         if len(route.targets) == 1:
             return route.targets[0][0]
--- a/basilwinch/platform/settings.py
+++ b/basilwinch/platform/settings.py
@@ -9,6 +9,8 @@
 
 SETTINGS_VARIABLE = "BASILWINCH_SETTINGS"
 _METRICS_PORT = 9464  # the "metrics" port in deploy/system.toml
+# Used if the settings do not name it; the value on both sites of today.
+_DEFAULT_CONFIGURATION_APPLY_MS = 2000
 
 
 def read_settings(path: str) -> EntrySettings:
@@ -62,6 +64,10 @@
             retry_ratio=self._read_number("bounds.retry-ratio"),
             retry_window_s=self._read_number("bounds.retry-window-s"),
             retry_slack=self._read_number("bounds.retry-slack"),
+            config_apply_s=seconds_per_ms
+            * self._read_field(
+                "bounds.config-apply-ms", (int, float), _DEFAULT_CONFIGURATION_APPLY_MS
+            ),
         )
 
     def _read_number(self, name: str) -> float:
@@ -87,7 +93,7 @@
         return Address(host, int(port))
 
 
-_OPTIONAL_FIELDS = {"bounds.revoke-closed"}
+_OPTIONAL_FIELDS = {"bounds.revoke-closed", "bounds.config-apply-ms"}
 
 
 def _invalid_settings(faults: list[str]) -> ConfigurationError:
--- a/basilwinch/platform/tests/conftest.py
+++ b/basilwinch/platform/tests/conftest.py
@@ -85,7 +85,7 @@
         for number in range(chains * 2):
             await platform.add_server(nursery, f"c{number}", "llm", "card")
         address = [Address("127.0.0.1", _free_port()) for _ in range(3)]
-        bounds = Bounds(4.0, 5.0, True, 0.2, 10.0, 100)
+        bounds = Bounds(4.0, 5.0, True, 0.2, 10.0, 100, 2.0)
         settings = EntrySettings("n1", "z0", "127.0.0.1", *address, _free_port(), None, bounds)
         store = MetadataStore("127.0.0.1", platform.port)
         source = ViewSource(
--- a/basilwinch/platform/tests/site.py
+++ b/basilwinch/platform/tests/site.py
@@ -60,6 +60,7 @@
 retry-ratio = 0.2
 retry-window-s = 10
 retry-slack = 200
+config-apply-ms = 2000
 [platform]
 address = "{store}"
 """
--- a/basilwinch/platform/tests/test_denial.py
+++ b/basilwinch/platform/tests/test_denial.py
@@ -6,6 +6,7 @@
 import trio
 
 from basilwinch.platform.tests.conftest import KEY
+from basilwinch.view import read_boot_clock
 
 _DENIALS = (401, 403, 404)
 _CONFIG_APPLY_S = 2.0  # time within which a new configuration must be in force
@@ -54,7 +55,7 @@
         statuses = await _collect_statuses(site, _CONFIG_APPLY_S, 6.0)
         assert statuses == {503}
         site.platform.outage_status = None
-        await site.wait_until(lambda: site.node.view.configuration.version == 7)
+        await site.wait_until(lambda: site.node.view.age(read_boot_clock()) < 1.0)
         assert await _collect_statuses(site, 0.0, 0.3) == {200}
 
     run_with(test)
--- a/basilwinch/platform/tests/test_settings.py
+++ b/basilwinch/platform/tests/test_settings.py
@@ -18,6 +18,7 @@
     settings = read_settings(str(path))
     assert str(settings.store) == "10.200.1.7:8223"
     assert settings.bounds.revoke_s == 5.0
+    assert settings.bounds.config_apply_s == 2.0
     assert settings.bounds.revoke_closed
     assert settings.peer_port == 8110
 
