Replace all connections to the store when an open one does not answer

Callers saw: the configuration before the last one for up to 6 s after the open connections to the store had fallen silent, although new ones worked (CONFIG). Cause: a query of the revision waited 1.5 s on each idle connection in turn, and the watch waited for its own time-out of 10.6 s. Change: a query that is not answered within 0.6 s is repeated on a new connection, and any call that times out closes the idle ones. If the new connection answers soon, the store is not slow, and the watch goes on with a new connection too. A store that takes 0.2 to 1.2 s restarts no watch.

--- a/basilwinch/platform/store.py
+++ b/basilwinch/platform/store.py
@@ -78,6 +78,10 @@
         # "as-of" is the revision of the whole store, not that of an item.
         return Page(items, bool(fields["more-pages"])), fields["as-of"]
 
+    def close_idle_connections(self) -> None:
+        """Make the next calls use new connections, as the idle ones may be dead."""
+        self._pool.close_idle(self._address)
+
     async def read_revision(self) -> int:
         """Return the revision of the store, with one call that lists no keys."""
         query = {"prefix": _UNUSED_PREFIX}
@@ -152,6 +156,7 @@
                 request = (method.encode(), target.encode(), header, data)
                 status, answer = await self._pool.call(self._address, request, _MAX_RESPONSE_BYTES)
         except trio.TooSlowError:
+            self.close_idle_connections()
             raise PlatformError(
                 kind.because(f"{method} {path}: no answer within {timeout_s} s")
             ) from None
--- a/basilwinch/view/tests/test_watcher.py
+++ b/basilwinch/view/tests/test_watcher.py
@@ -28,6 +28,8 @@
         self.revision = 1
         self.silent = False
         self.down = False
+        self.latency_s = 0.004
+        self.polls = 0
         self.compacted = 0
         self.changed = trio.Event()
 
@@ -55,13 +57,17 @@
         self._answer()
         return Page(list(self.items.values()), False), self.revision
 
+    def close_idle_connections(self):
+        pass
+
     async def read_revision(self):
-        await trio.sleep(0.004)
+        await trio.sleep(self.latency_s)
         self._answer()
         return self.revision
 
     async def poll(self, prefix, after, wait_s):
-        await trio.sleep(0.004)
+        self.polls += 1
+        await trio.sleep(self.latency_s)
         self._answer()
         if after < self.compacted:
             raise PlatformError(HISTORY_COMPACTED.because("gone"))
@@ -211,3 +217,22 @@
         assert "s1" not in view.servers
 
     run_watcher(test)
+
+
+@pytest.mark.parametrize("latency_s", [0.2, 0.4, 0.8, 1.2])
+def test_slow_store_is_not_taken_for_dead_connections(run_watcher, latency_s):
+    """Guards against a watch that is restarted at each check while the store is only slow."""
+
+    async def test(store, view):
+        store.latency_s = latency_s
+        await trio.sleep(2.0)
+        store.polls = 0
+        for _ in range(40):
+            await trio.sleep(0.5)
+            assert view.age(trio.current_time()) < 4.0
+        assert store.polls <= 3
+        store.put("servers/s1")
+        await trio.sleep(latency_s + 0.1)
+        assert "s1" in view.servers
+
+    run_watcher(test)
--- a/basilwinch/view/watcher.py
+++ b/basilwinch/view/watcher.py
@@ -21,6 +21,9 @@
 # Interval after a failed check, since keys may be refused until one succeeds; also while servers
 # may register again.
 _CHECK_RETRY_S = 0.5
+# An open connection that does not answer within this time may be dead without a sign of it. A slow
+# store takes up to 0.4 s.
+_OPEN_CONNECTION_TIMEOUT_S = 0.6
 _CATCH_UP_MARGIN_S = 0.2  # after the batch pause, for the watch to deliver what a check has shown
 # Pause after changes, so that a series of them takes few calls. In a large fleet each node waits
 # longer, since a change makes all of them call the store.
@@ -37,7 +40,7 @@
 class ViewSource:
     """Names and decoders of the keys that make up the view.
 
-    :param store: store with ``scan_at``, ``poll`` and ``read_revision``
+    :param store: store with ``scan_at``, ``poll``, ``read_revision`` and ``close_idle_connections``
     :param configuration_key: key of the configuration
     :param servers_prefix: prefix of the servers' keys
     :param decode_configuration: function of a value, which returns None if it can't be decoded
@@ -160,9 +163,8 @@
             self._remove_expired()
             if self._revision is None:
                 continue
-            asked_at = self._clock()
             try:
-                revision = await self._source.store.read_revision()
+                asked_at, revision = await self._query_revision()
             except PlatformError as error:
                 self._mark_unreachable(error)
                 pause = _CHECK_RETRY_S
@@ -181,6 +183,24 @@
                 self._revision = None
                 self._watch_scope.cancel()
 
+    async def _query_revision(self) -> tuple[float, int]:
+        """Return the revision of the store, and the time at which it was asked for.
+
+        If an open connection does not answer soon, a new one is tried. If that one answers soon,
+        the store is not slow but the open connections are dead, so the watch needs a new one too.
+        """
+        store = self._source.store
+        asked_at = self._clock()
+        with trio.move_on_after(_OPEN_CONNECTION_TIMEOUT_S):
+            return asked_at, await store.read_revision()
+        store.close_idle_connections()
+        asked_at = self._clock()
+        revision = await store.read_revision()
+        if self._clock() - asked_at < _OPEN_CONNECTION_TIMEOUT_S:
+            self._log.warning("open connections to the store do not answer, watching on a new one")
+            self._watch_scope.cancel()
+        return asked_at, revision
+
     def _has_applied(self, revision: int) -> bool:
         return self._revision is not None and self._revision >= revision
 
--- a/basilwinch/wire/pool.py
+++ b/basilwinch/wire/pool.py
@@ -78,6 +78,14 @@
         else:
             connection.close()
 
+    def close_idle(self, address: tuple[str, int]) -> None:
+        """Close the idle connections to an address, which may be dead without a sign of it.
+
+        :param address: pair of IP address and port
+        """
+        for connection in self._idle.pop(address, ()):
+            connection.close()
+
     def close_expired(self) -> None:
         """Close connections that have been idle for longer than their limit."""
         for idle in self._idle.values():
