Failing tests: a store that is restored from an older copy

Cause: revisions of two histories of the store are compared as if they were of one; nothing reads the era that its answers name.

--- a/basilwinch/platform/tests/standin.py
+++ b/basilwinch/platform/tests/standin.py
@@ -44,6 +44,7 @@
         self.limit: bytes | None = None  # requests per second that its answers name
         self.run_times: list[float] = []
         self.state = "ready"
+        self.heartbeats = 0
         self._scope = trio.CancelScope()
 
     async def serve(self, handle, listeners) -> None:
@@ -71,7 +72,7 @@
             "zone": "z0",
             "slots": 8,
             "state": self.state,
-            "sequence": 1,
+            "sequence": self.heartbeats,
             "born": 1,
         }
         if self.kind:
@@ -100,6 +101,7 @@
         self._store_connections: set = set()
         self._silent_connections: set = set()
         self.calls = 0
+        self.era: bytes | None = b"1"  # header of all answers that counts restores; None for none
         self.port = 0
         self.put("op/config", json.dumps(configuration).encode())
 
@@ -137,6 +139,7 @@
 
     def register(self, server: StandinServer) -> None:
         """Write a server's entry."""
+        server.heartbeats += 1
         self.put(f"servers/{server.id}", json.dumps(server.entry()).encode())
 
     def put(self, key: str, value: bytes, lease: int = 0) -> None:
@@ -159,6 +162,21 @@
         self.oldest_revision = self.revision
         self._notify()
 
+    def copy(self) -> tuple:
+        """Return a copy of the store for :meth:`restore`."""
+        return dict(self.items), self.revision, dict(self.leases), self.last_lease_id
+
+    def restore(self, copy: tuple, era: bytes | None = None) -> None:
+        """Go back to an earlier copy; revisions and lease ids are given out again.
+
+        :param era: era from now on, by default the next one
+        """
+        items, self.revision, leases, self.last_lease_id = copy
+        self.items, self.leases = dict(items), dict(leases)
+        self.events = [event for event in self.events if event["revision"] <= self.revision]
+        self.era = era if era is not None else b"%d" % (int(self.era) + 1)
+        self._notify()
+
     def _notify(self) -> None:
         self.changed.set()
         self.changed = trio.Event()
@@ -191,7 +209,7 @@
         if self.outage_status is not None:
             if self.outage_status == 0:
                 await trio.sleep_forever()
-            await exchange.respond(self.outage_status, [], b"")
+            await exchange.respond(self.outage_status, self._era_header(), b"")
             return
         path, _, text = exchange.target.decode().partition("?")
         query = dict(urllib.parse.parse_qsl(text, keep_blank_values=True))
@@ -203,7 +221,10 @@
         status, fields = await self._handlers()[call](query, body, name)
         if exchange._connection in self._silent_connections:
             await trio.sleep_forever()
-        await exchange.respond(status, [], json.dumps(fields).encode())
+        await exchange.respond(status, self._era_header(), json.dumps(fields).encode())
+
+    def _era_header(self) -> list:
+        return [] if self.era is None else [(b"Store-Era", self.era)]
 
     def _handlers(self) -> dict:
         return {
@@ -230,12 +251,15 @@
     async def _watch(self, query, body, name):
         after = int(query["after"])
         with trio.move_on_after(int(query["wait-ms"]) / 1000):
-            while after >= self.oldest_revision and not self._after(after, query["prefix"]):
+            while self._has_history(after) and not self._after(after, query["prefix"]):
                 await self.changed.wait()
-        if after < self.oldest_revision:
+        if not self._has_history(after):
             return 410, {}
         return 200, {"events": self._after(after, query["prefix"]), "as-of": self.revision}
 
+    def _has_history(self, after: int) -> bool:
+        return self.oldest_revision <= after <= self.revision
+
     def _after(self, after, prefix):
         return [e for e in self.events if e["revision"] > after and e["key"].startswith(prefix)]
 
--- a/basilwinch/view/tests/standin.py
+++ b/basilwinch/view/tests/standin.py
@@ -41,6 +41,21 @@
         del self.items[key]
         self._append(WatchEvent(key, None, self.revision))
 
+    def copy(self):
+        """Return a copy of the store for :meth:`restore`."""
+        return dict(self.items), self.revision
+
+    def restore(self, copy, tell=True):
+        """Go back to an earlier copy; revisions are given out again.
+
+        :param tell: whether the next answers name another era
+        """
+        items, self.revision = copy
+        self.items = dict(items)
+        self.events = [event for event in self.events if event.mod_revision <= self.revision]
+        self.era += tell
+        self._notify()
+
     def compact(self):
         """Drop the history, so that a watch from an earlier revision fails."""
         self.compacted = self.revision
