Read again from a restored store, and compare no revisions of two histories

Callers would see: a change that is missed for as long as nothing else is written, and a view that is confirmed without it. Cause: the watch went on from a revision that the restored store had given out again, and any revision below the cursor counted as applied. Change: StoreHistory tells histories apart by the era that answers name, or by a revision that falls. Positions carry their history; a watch, a confirmation or a write across two of them fails. After a restore a node reads the configuration at once and the other keys after a spread; keys of nodes that are missing then are dropped only after 12 s, and servers get their time to return.

--- a/basilwinch/exception.py
+++ b/basilwinch/exception.py
@@ -185,6 +185,9 @@
 )
 NO_SERVER = FailureKind("no_server", 503, "No server of the service can take the request.", True)
 NO_CONFIGURATION = FailureKind("no_configuration", 503, "No configuration has been read yet.", True)
+HISTORY_FORKED = FailureKind(
+    "history_forked", 503, "The platform's store was restored from an older copy.", True
+)
 STALE_CONFIGURATION = FailureKind(
     "stale_configuration", 503, "The configuration could not be confirmed lately.", True
 )
--- a/basilwinch/platform/status.py
+++ b/basilwinch/platform/status.py
@@ -31,11 +31,11 @@
     status = {"configuration": None, "servers": [], "nodes": [], "layouts": {}, "leases": {}}
     after = ""
     while True:
-        page, revision = await store.scan_at("", after)
+        page, position = await store.scan_at("", after)
         for item in page.items:
             _add_item(status, item)
         if not page.more:
-            return status | {"revision": revision}
+            return status | {"revision": position.revision}
         after = page.items[-1].key
 
 
--- a/basilwinch/platform/store.py
+++ b/basilwinch/platform/store.py
@@ -8,6 +8,7 @@
 
 from basilwinch.exception import (
     HISTORY_COMPACTED,
+    HISTORY_FORKED,
     LEASE_LOST,
     OUTCOME_UNKNOWN,
     PLATFORM_AMBIGUOUS,
@@ -17,7 +18,15 @@
     ServerError,
 )
 from basilwinch.record import Record
-from basilwinch.store import KeyValue, LeaseGrant, Page, Transaction, WatchEvent
+from basilwinch.store import (
+    KeyValue,
+    LeaseGrant,
+    Page,
+    Position,
+    StoreHistory,
+    Transaction,
+    WatchEvent,
+)
 from basilwinch.wire import ConnectionPool
 
 __all__ = ["Changes", "MetadataStore"]
@@ -30,12 +39,13 @@
 _MAX_IDLE_CONNECTIONS = 4
 _MAX_RESPONSE_BYTES = 16 << 20
 _MAX_WATCH_S = 30.0
+_MAX_ERA_CHARACTERS = 9  # a number of so many digits still fits a fencing token
 
 
 class Changes(Record):
-    """Events of a watch, complete up to ``revision``."""
+    """Events of a watch, complete up to a :class:`~basilwinch.store.Position`."""
 
-    __slots__ = ("events", "revision")
+    __slots__ = ("events", "position")
 
 
 class MetadataStore:
@@ -49,9 +59,10 @@
     :param clock: function that returns the time in seconds
     """
 
-    __slots__ = ("_address", "_pool")
+    __slots__ = ("history", "_address", "_pool")
 
     def __init__(self, host: str, port: int, clock=trio.current_time):
+        self.history = StoreHistory(clock)
         self._address = (host, port)
         self._pool = ConnectionPool(
             clock, _CONNECT_TIMEOUT_S, _MAX_CONNECTION_IDLE_S, _MAX_IDLE_CONNECTIONS
@@ -70,23 +81,26 @@
         page, _ = await self.scan_at(prefix, after)
         return page
 
-    async def scan_at(self, prefix: str, after: str = "") -> tuple[Page, int]:
-        """Return a page of keys, and the revision of the store at the time of the read."""
+    async def scan_at(self, prefix: str, after: str = "") -> tuple[Page, Position]:
+        """Return a page of keys, and the position of the store at the time of the read."""
         query = {"prefix": prefix, "after": after} if after else {"prefix": prefix}
         _, fields = await self._call("GET", "/-/kv-range", query)
         items = [_decode_item(item) for item in fields["items"]]
-        # "as-of" is the revision of the whole store, not that of an item.
-        return Page(items, bool(fields["more-pages"])), fields["as-of"]
+        return Page(items, bool(fields["more-pages"])), self._read_position(fields)
 
     def close_idle_connections(self) -> None:
         """Make the next calls use new connections, as the idle ones may be dead."""
         self._pool.close_idle(self._address)
 
-    async def read_revision(self) -> int:
-        """Return the revision of the store, with one call that lists no keys."""
+    async def read_position(self) -> Position:
+        """Return the position of the store, with one call that lists no keys."""
         query = {"prefix": _UNUSED_PREFIX}
         _, fields = await self._call("GET", "/-/kv-range", query)
-        return fields["as-of"]
+        return self._read_position(fields)
+
+    def _read_position(self, fields: dict) -> Position:
+        # "as-of" is the revision of the whole store, not that of an item.
+        return Position(self.history.number, fields["as-of"])
 
     async def transact(self, compares, puts, deletes=()) -> Transaction:
         """Apply all changes if all conditions hold, else none."""
@@ -117,33 +131,39 @@
         """End a lease and delete its keys."""
         await self._call("DELETE", f"/-/kv-lease-end/{lease}", writes=True)
 
-    async def poll(self, prefix: str, after: int, wait_s: float) -> Changes:
-        """Return the changes after a revision, as soon as there are any.
+    async def poll(self, prefix: str, after: Position, wait_s: float) -> Changes:
+        """Return the changes after a position, as soon as there are any.
 
         :param prefix: prefix of the keys
-        :param after: revision after which changes are returned
+        :param after: position after which changes are returned
         :param wait_s: maximum time to wait, in seconds; at most 30
-        :raises PlatformError: with ``HISTORY_COMPACTED`` if the store no longer keeps them
+        :raises PlatformError: with ``HISTORY_COMPACTED`` if the store no longer keeps them, or
+            ``HISTORY_FORKED`` if its history does not contain the position
         """
         wait_s = min(wait_s, _MAX_WATCH_S)
-        query = {"prefix": prefix, "after": after, "wait-ms": int(wait_s * 1000)}
+        query = {"prefix": prefix, "after": after.revision, "wait-ms": int(wait_s * 1000)}
         timeout_s = wait_s + _WATCH_MARGIN_S
         status, fields = await self._call("GET", "/-/kv-watch", query, timeout_s=timeout_s)
+        if self.history.number != after.history:
+            raise PlatformError(
+                HISTORY_FORKED.because(f"revision {after.revision} is of an earlier history")
+            )
         if status == 410:
             raise PlatformError(
                 HISTORY_COMPACTED.because(
-                    f"the store no longer keeps all events after revision {after}"
+                    f"the store no longer keeps all events after revision {after.revision}"
                 )
             )
-        return Changes([_decode_event(event) for event in fields["events"]], fields["as-of"])
+        events = [_decode_event(event) for event in fields["events"]]
+        return Changes(events, self._read_position(fields))
 
     async def _call(
         self, method, path, query=None, body=None, timeout_s=_CALL_TIMEOUT_S, writes=False
     ) -> tuple[int, dict]:
         """Make a call; return the HTTP status and the decoded answer.
 
-        :param writes: whether the call changes the store; if its answer is lost, the failure is
-            then ``PLATFORM_AMBIGUOUS``
+        :param writes: whether the call changes the store; if its answer is lost, or the store is
+            restored during the call, the failure is then ``PLATFORM_AMBIGUOUS``
         """
         target = f"{path}?{urllib.parse.urlencode(query)}" if query else path
         data = b"" if body is None else json.dumps(body).encode()
@@ -151,10 +171,13 @@
         if method != "GET":
             header.append((b"Content-Length", b"%d" % len(data)))
         kind = PLATFORM_AMBIGUOUS if writes else PLATFORM_UNAVAILABLE
+        asked_in = self.history.number
         try:
             with trio.fail_after(timeout_s):
                 request = (method.encode(), target.encode(), header, data)
-                status, answer = await self._pool.call(self._address, request, _MAX_RESPONSE_BYTES)
+                status, headers, answer = await self._pool.exchange(
+                    self._address, request, _MAX_RESPONSE_BYTES
+                )
         except trio.TooSlowError:
             self.close_idle_connections()
             raise PlatformError(
@@ -164,6 +187,10 @@
             if error.failure.kind is not OUTCOME_UNKNOWN:
                 kind = PLATFORM_UNAVAILABLE
             raise PlatformError(kind.because(error.failure.reason)) from None
+        is_current = self.history.observe(_decode_era(headers), asked_in)
+        if not is_current or (writes and self.history.number != asked_in):
+            # A write may refer to a revision or a lease that has been given out again.
+            raise PlatformError(kind.because(f"{method} {path}: the store was restored meanwhile"))
         if status in (429, 503):
             raise PlatformError(
                 PLATFORM_UNAVAILABLE.because(f"{method} {path}: HTTP status {status}")
@@ -178,6 +205,12 @@
             ) from None
 
 
+def _decode_era(headers: dict) -> int | str | None:
+    """Return the era that an answer names: text if it is no number, None if it is missing."""
+    text = headers.get(b"store-era", b"").decode("latin-1")[:_MAX_ERA_CHARACTERS]
+    return int(text) if text.isdecimal() else text or None
+
+
 def _decode_item(item: dict) -> KeyValue:
     value = base64.b64decode(item["value"])
     return KeyValue(item["key"], value, item["revision"], item.get("lease", 0))
--- a/basilwinch/store/__init__.py
+++ b/basilwinch/store/__init__.py
@@ -4,6 +4,7 @@
 :mod:`basilwinch.store.etcd`.
 """
 
+from basilwinch.store.history import Position, StoreHistory
 from basilwinch.store.interface import (
     Compare,
     KeyValue,
@@ -24,6 +25,8 @@
     "KeyValueStore",
     "LeaseGrant",
     "Page",
+    "Position",
+    "StoreHistory",
     "Transaction",
     "VmEntry",
     "VmList",
--- a/basilwinch/view/shared_watch.py
+++ b/basilwinch/view/shared_watch.py
@@ -19,6 +19,7 @@
     """
 
     __slots__ = (
+        "history",
         "_subscribers",
         "get",
         "scan",
@@ -30,6 +31,7 @@
 
     def __init__(self, store):
         self._subscribers: dict[trio.MemorySendChannel, str] = {}
+        self.history = store.history
         self.get = store.get
         self.scan = store.scan
         self.transact = store.transact
--- a/basilwinch/view/watcher.py
+++ b/basilwinch/view/watcher.py
@@ -3,7 +3,8 @@
 import structlog
 import trio
 
-from basilwinch.exception import HISTORY_COMPACTED, PlatformError
+from basilwinch.exception import HISTORY_COMPACTED, HISTORY_FORKED, PlatformError
+from basilwinch.store import Position
 from basilwinch.view.state import View
 
 __all__ = ["StoreWatcher", "ViewSource"]
@@ -35,12 +36,21 @@
 # After an outage of the store, the watch reports the entries that expired during it within this
 # time; covers the maximum retry pause.
 _EXPIRY_EVENT_WINDOW_S = 1.2
+# After a restore each node reads all keys again. The reads are spread so that all nodes together
+# make this many calls, half of what a small store takes.
+_FLEET_READS_PER_S = 1000.0
+_KEYS_PER_PAGE = 500
+_MIN_RESTORED_READ_INTERVAL_S = 0.2  # if the store's answers contradict each other
+# Keys of nodes that a restore has lost are written again by their owners within this time, which is
+# also the longest lease of a node that has stopped.
+_REWRITE_TIMEOUT_S = 12.0
 
 
 class ViewSource:
     """Names and decoders of the keys that make up the view.
 
-    :param store: store with ``scan_at``, ``poll``, ``read_revision`` and ``close_idle_connections``
+    :param store: store with ``history``, ``scan_at``, ``poll``, ``read_position`` and
+        ``close_idle_connections``
     :param configuration_key: key of the configuration
     :param servers_prefix: prefix of the servers' keys
     :param decode_configuration: function of a value, which returns None if it can't be decoded
@@ -77,6 +87,10 @@
     registered again after ``_REREGISTER_TIMEOUT_S``. ``on_key`` is called with key, value and
     revision of changes that do not belong to the view.
 
+    After a restore of the store the configuration is read at once, and
+    the watch goes on from there. The other keys are read after a delay that spreads the reads of
+    all nodes; until then the entries of servers are kept as they were.
+
     :param source: :class:`ViewSource`
     :param view: :class:`View` to keep up to date
     :param rng: random numbers for pauses
@@ -92,7 +106,13 @@
         "_unreachable_since",
         "_reachable_since",
         "_remove_at",
-        "_revision",
+        "_nodes",
+        "_other_keys",
+        "_drop_at",
+        "_position",
+        "_highest",
+        "_reread_at",
+        "_restored_read_at",
         "_watch_scope",
         "check_interval_s",
         "_batch_pause_s",
@@ -108,14 +128,25 @@
         self._unreachable_since: float | None = None
         self._reachable_since = float("-inf")
         self._remove_at: dict[str, float] = {}
-        self._revision: int | None = None
+        self._nodes = 1
+        # Keys that do not belong to the view, and when those that a restore has lost are dropped.
+        self._other_keys: set[str] = set()
+        self._drop_at: dict[str, float] = {}
+        # All changes up to here are applied to the configuration, and to the other keys too unless
+        # they are still to be read after a restore, at ``_reread_at``.
+        self._position: Position | None = None
+        self._highest: Position | None = None
+        self._reread_at = float("inf")
+        self._restored_read_at = float("-inf")
         self._watch_scope = trio.CancelScope()
         self.check_interval_s = _MIN_CHECK_INTERVAL_S
         self._batch_pause_s = _MIN_BATCH_PAUSE_S
         self.on_key = None
+        source.store.history.subscribe(self._begin_history)
 
     def set_nodes(self, nodes: int) -> None:
-        """Adapt check interval and batch pause to the number of nodes."""
+        """Adapt check interval, batch pause and spread of reads to the number of nodes."""
+        self._nodes = nodes
         self.check_interval_s = min(
             _MAX_CHECK_INTERVAL_S, max(_MIN_CHECK_INTERVAL_S, nodes / _FLEET_CHECKS_PER_S)
         )
@@ -129,62 +160,96 @@
             nursery.start_soon(self._watch_changes)
             nursery.start_soon(self._check_revisions)
 
+    def _begin_history(self) -> None:
+        """Read again from the store, which was restored from an older copy."""
+        self._reachable_since = self._clock()
+        self._reread_at = trio.current_time()
+        self._watch_scope.cancel()
+
     async def _watch_changes(self) -> None:
         pause = _MIN_RETRY_PAUSE_S
         while True:
             try:
-                if self._revision is None:
-                    await self._read_all()
-                    self._mark_reachable()
-                with trio.CancelScope() as self._watch_scope:
-                    changed = await self._read_changes(self._revision)
+                await self._catch_up()
+                with trio.CancelScope(deadline=self._reread_at) as self._watch_scope:
+                    changed = await self._read_changes(self._position)
                     self._mark_reachable()
                     pause = _MIN_RETRY_PAUSE_S
                     await trio.sleep(self._batch_pause_s if changed else 0)
             except PlatformError as error:
-                if error.failure.kind is HISTORY_COMPACTED:
+                if error.failure.kind in (HISTORY_COMPACTED, HISTORY_FORKED):
                     self._log.warning(
-                        "store history compacted, reading all keys again",
-                        after_revision=self._revision,
+                        "watch cannot go on, reading from the store again",
+                        position=str(self._position),
+                        reason=error.failure.reason,
                     )
-                    self._revision = None
+                    self._position = None
                     continue
                 self._mark_unreachable(error)
                 await trio.sleep(pause * self._rng.uniform(0.5, 1.0))
                 pause = min(_MAX_RETRY_PAUSE_S, pause * 2)
 
+    async def _catch_up(self) -> None:
+        """Read what the watch cannot deliver."""
+        if self._position is not None and self._position.history != self._history.number:
+            self._position = None
+        if self._position is None and self._is_reread_pending():
+            await trio.sleep_until(self._restored_read_at + _MIN_RESTORED_READ_INTERVAL_S)
+            self._restored_read_at = trio.current_time()
+            await self._read_configuration()
+            spread_s = self._nodes * (1 + self._count_keys() // _KEYS_PER_PAGE) / _FLEET_READS_PER_S
+            self._reread_at = trio.current_time() + self._rng.uniform(0, spread_s)
+        elif self._position is None or trio.current_time() >= self._reread_at:
+            await self._read_all()
+        else:
+            return
+        self._mark_reachable()
+
+    def _is_reread_pending(self) -> bool:
+        return self._reread_at != float("inf")
+
+    def _count_keys(self) -> int:
+        return len(self._view.servers) + len(self._other_keys)
+
+    @property
+    def _history(self):
+        return self._source.store.history
+
     async def _check_revisions(self) -> None:
-        """Query the store's revision at intervals; read all keys again if changes are missing."""
+        """Query the store's position at intervals; read all keys again if changes are missing."""
         pause = self.check_interval_s
         while True:
             await trio.sleep(pause * self._rng.uniform(0.8, 1.0))
             # While servers may register again, check more often to remove them in time.
             pause = _CHECK_RETRY_S if self._remove_at else self.check_interval_s
             self._remove_expired()
-            if self._revision is None:
+            applied = self._position
+            if applied is None:
                 continue
             try:
-                asked_at, revision = await self._query_revision()
+                asked_at, position = await self._query_position()
             except PlatformError as error:
                 self._mark_unreachable(error)
                 pause = _CHECK_RETRY_S
                 continue
             self._mark_reachable()
-            if not self._has_applied(revision):
+            if self._has_fallen(applied, position) or position.history != self._history.number:
+                continue
+            if not self._has_applied(position):
                 await trio.sleep(self._batch_pause_s + _CATCH_UP_MARGIN_S)
-            if self._has_applied(revision):
+            if self._has_applied(position):
                 self._view.confirm(asked_at)
-            else:
+            elif position.history == self._history.number:
                 self._log.warning(
                     "watch missed changes, reading all keys again",
-                    applied_revision=self._revision,
-                    store_revision=revision,
+                    applied=str(self._position),
+                    store=str(position),
                 )
-                self._revision = None
+                self._position = None
                 self._watch_scope.cancel()
 
-    async def _query_revision(self) -> tuple[float, int]:
-        """Return the revision of the store, and the time at which it was asked for.
+    async def _query_position(self) -> tuple[float, Position]:
+        """Return the position of the store, and the time at which it was asked for.
 
         If an open connection does not answer soon, a new one is tried. If that one answers soon,
         the store is not slow but the open connections are dead, so the watch needs a new one too.
@@ -192,46 +257,70 @@
         store = self._source.store
         asked_at = self._clock()
         with trio.move_on_after(_OPEN_CONNECTION_TIMEOUT_S):
-            return asked_at, await store.read_revision()
+            return asked_at, await store.read_position()
         store.close_idle_connections()
         asked_at = self._clock()
-        revision = await store.read_revision()
+        position = await store.read_position()
         if self._clock() - asked_at < _OPEN_CONNECTION_TIMEOUT_S:
             self._log.warning("open connections to the store do not answer, watching on a new one")
             self._watch_scope.cancel()
-        return asked_at, revision
+        return asked_at, position
 
-    def _has_applied(self, revision: int) -> bool:
-        return self._revision is not None and self._revision >= revision
+    def _has_fallen(self, before: Position | None, after: Position) -> bool:
+        """Return whether the store's revision has fallen; if so, a history begins.
+
+        :param before: position of an earlier answer, or None
+        :param after: position of a later one
+        """
+        if before is None or before.history != after.history or after.includes(before):
+            return False
+        self._history.report_fall(before.revision, after.revision)
+        return True
+
+    def _has_applied(self, position: Position) -> bool:
+        return self._position is not None and self._position.includes(position)
+
+    async def _read_configuration(self) -> None:
+        """Read only the configuration, and set the position after which changes are to be read."""
+        asked_at = self._clock()
+        page, position = await self._source.store.scan_at(self._source.configuration_key)
+        for item in page.items:
+            self._apply(item.key, item.value, item.mod_revision)
+        self._position = self._highest = position
+        self._view.confirm(asked_at)
 
     async def _read_all(self) -> None:
-        """Read all keys, and set the revision after which changes are to be read."""
+        """Read all keys, and set the position after which changes are to be read."""
         asked_at = self._clock()
         listed = set()
         start, after = None, ""
         while True:
-            page, revision = await self._source.store.scan_at("", after)
-            start = revision if start is None else start
+            page, position = await self._source.store.scan_at("", after)
+            start = position if start is None else start
+            if self._has_fallen(self._highest, start) or position.history != start.history:
+                raise PlatformError(HISTORY_FORKED.because("restored while keys were read"))
             for item in page.items:
                 listed.add(item.key)
                 self._apply(item.key, item.value, item.mod_revision)
             if not page.more:
                 break
             after = page.items[-1].key
-        self._remove_unlisted(listed, start)
-        self._revision = start
+        self._remove_unlisted(listed, start.revision)
+        self._position = self._highest = start
+        self._reread_at = float("inf")
         self._view.confirm(asked_at)
 
-    async def _read_changes(self, after: int) -> bool:
+    async def _read_changes(self, after: Position) -> bool:
         """Apply the next changes, and return whether there were any.
 
-        Only events advance the revision, since an answer without events may have missed changes.
+        Only events advance the position, since an answer without events may have missed changes.
         """
         changes = await self._source.store.poll("", after, _POLL_TIMEOUT_S)
         for event in changes.events:
             self._apply(event.key, event.value, event.mod_revision)
-            if self._revision is not None:
-                self._revision = max(self._revision, event.mod_revision)
+            if self._position is not None:
+                revision = max(self._position.revision, event.mod_revision)
+                self._position = self._highest = Position(self._position.history, revision)
         return bool(changes.events)
 
     def _remove_unlisted(self, listed: set, revision: int) -> None:
@@ -239,6 +328,11 @@
         for server_id in list(self._view.servers):
             if prefix + server_id not in listed:
                 self._remove(server_id, revision, "not among the keys of the store")
+        for key in self._other_keys - listed:
+            if self._is_reread_pending():
+                self._drop_at.setdefault(key, self._clock() + _REWRITE_TIMEOUT_S)
+            else:
+                self._apply(key, None, revision)
 
     def _apply(self, key: str, value: bytes | None, revision: int) -> None:
         source = self._source
@@ -248,7 +342,16 @@
                 self._view.set_configuration(configuration, revision)
         elif key.startswith(source.servers_prefix):
             self._apply_server(key, value, revision)
-        elif self.on_key is not None:
+        else:
+            self._apply_other(key, value, revision)
+
+    def _apply_other(self, key: str, value: bytes | None, revision: int) -> None:
+        self._drop_at.pop(key, None)
+        if value is None:
+            self._other_keys.discard(key)
+        else:
+            self._other_keys.add(key)
+        if self.on_key is not None:
             self.on_key(key, value, revision)
 
     def _apply_server(self, key: str, value: bytes | None, revision: int) -> None:
@@ -268,7 +371,8 @@
         after its entry is gone.
         """
         now = self._clock()
-        if self._unreachable_since is None and now - self._reachable_since > _EXPIRY_EVENT_WINDOW_S:
+        is_due = now - self._reachable_since > _EXPIRY_EVENT_WINDOW_S
+        if self._unreachable_since is None and is_due and not self._is_reread_pending():
             self._remove_at.pop(server_id, None)
             self._view.remove_server(server_id, revision, reason)
         elif server_id in self._view.servers:
@@ -279,8 +383,11 @@
         for server_id in [s for s, until in self._remove_at.items() if until <= now]:
             del self._remove_at[server_id]
             self._view.remove_server(
-                server_id, 0, "not registered again after an outage of the store"
+                server_id, 0, "not registered again after an outage or restore of the store"
             )
+        for key in [k for k, until in self._drop_at.items() if until <= now]:
+            self._log.info("key not written again after a restore of the store", key=key)
+            self._apply_other(key, None, 0)
 
     def _mark_unreachable(self, error: PlatformError) -> None:
         if self._unreachable_since is None:
--- a/basilwinch/wire/pool.py
+++ b/basilwinch/wire/pool.py
@@ -46,6 +46,16 @@
     ) -> tuple[int, bytes]:
         """Make a call; return status and body of the response.
 
+        The parameters are those of :meth:`exchange`.
+        """
+        status, _, body = await self.exchange(address, request, max_body_bytes, fresh)
+        return status, body
+
+    async def exchange(
+        self, address: tuple[str, int], request: tuple, max_body_bytes: int, fresh: bool = False
+    ) -> tuple[int, dict, bytes]:
+        """Make a call; return status, header and body of the response.
+
         :param address: pair of IP address and port
         :param request: method, target, header and body
         :param max_body_bytes: maximum size of the response body
@@ -59,7 +69,7 @@
             response = await connection.receive_head()
             body = await connection.receive_body(max_body_bytes)
             complete = True
-            return response.status_code, body
+            return response.status_code, dict(response.headers), body
         finally:
             if complete:
                 self.release(connection)
