Ignore entries of servers that a restored store shows from before they left

Callers would see: requests sent to a server that drains or has left, whose old entry is back for a while, perhaps at an address that another service uses now (DRAIN). Cause: the entries of the older copy were applied like any other. In the read after a restore, an entry whose start and heartbeat count are below those known of its server is ignored; what servers write later counts.

--- a/basilwinch/view/watcher.py
+++ b/basilwinch/view/watcher.py
@@ -5,6 +5,7 @@
 
 from basilwinch.exception import HISTORY_COMPACTED, HISTORY_FORKED, PlatformError
 from basilwinch.store import Position
+from basilwinch.view.departed import DepartedServers
 from basilwinch.view.state import View
 
 __all__ = ["StoreWatcher", "ViewSource"]
@@ -106,6 +107,7 @@
         "_unreachable_since",
         "_reachable_since",
         "_remove_at",
+        "_departed",
         "_nodes",
         "_other_keys",
         "_drop_at",
@@ -128,6 +130,7 @@
         self._unreachable_since: float | None = None
         self._reachable_since = float("-inf")
         self._remove_at: dict[str, float] = {}
+        self._departed = DepartedServers()
         self._nodes = 1
         # Keys that do not belong to the view, and when those that a restore has lost are dropped.
         self._other_keys: set[str] = set()
@@ -301,7 +304,10 @@
                 raise PlatformError(HISTORY_FORKED.because("restored while keys were read"))
             for item in page.items:
                 listed.add(item.key)
-                self._apply(item.key, item.value, item.mod_revision)
+                if self._is_reread_pending() and self._is_outdated(item):
+                    self._log.info("outdated server entry ignored after a restore", key=item.key)
+                else:
+                    self._apply(item.key, item.value, item.mod_revision)
             if not page.more:
                 break
             after = page.items[-1].key
@@ -323,6 +329,16 @@
                 self._position = self._highest = Position(self._position.history, revision)
         return bool(changes.events)
 
+    def _is_outdated(self, item) -> bool:
+        """Return whether an item is a server's entry that is older than what is known of it."""
+        prefix = self._source.servers_prefix
+        if not item.key.startswith(prefix):
+            return False
+        entry = self._source.decode_server(item.key, item.value)
+        if entry is None:
+            return False
+        return self._departed.is_outdated(entry, self._view.servers.get(entry.id))
+
     def _remove_unlisted(self, listed: set, revision: int) -> None:
         prefix = self._source.servers_prefix
         for server_id in list(self._view.servers):
@@ -362,6 +378,7 @@
         entry = self._source.decode_server(key, value)
         if entry is not None:
             self._remove_at.pop(server_id, None)
+            self._departed.discard(server_id)
             self._view.set_server(entry, revision)
 
     def _remove(self, server_id: str, revision: int, reason: str) -> None:
@@ -371,6 +388,8 @@
         after its entry is gone.
         """
         now = self._clock()
+        if server_id in self._view.servers:
+            self._departed.add(self._view.servers[server_id], now)
         is_due = now - self._reachable_since > _EXPIRY_EVENT_WINDOW_S
         if self._unreachable_since is None and is_due and not self._is_reread_pending():
             self._remove_at.pop(server_id, None)
@@ -380,6 +399,7 @@
 
     def _remove_expired(self) -> None:
         now = self._clock()
+        self._departed.prune(now)
         for server_id in [s for s, until in self._remove_at.items() if until <= now]:
             del self._remove_at[server_id]
             self._view.remove_server(
