Write registrations and convictions again that a restored store has lost

Callers would see: load and suspects that do not reach a node for up to 8 s, and a convicted request that crashes servers again once all nodes were killed. Cause: a node took its registration for valid until a renewal failed, or renewed a lease id that now belonged to another node; a conviction once stored was taken for stored for good. Change: a restore ends the wait for the renewal. The node looks for its own entry, at a rate that a large fleet can afford, and registers again if it is gone. Convictions count as stored only if they are read again; the first node to write one saves the others the calls, as before.

--- a/basilwinch/peers/convictions.py
+++ b/basilwinch/peers/convictions.py
@@ -40,6 +40,15 @@
         # By digest: time at which a conviction that is not in the store is written.
         self._write_at: dict[str, float] = {}
         self._log = structlog.get_logger("convictions")
+        store.history.subscribe(self._begin_history)
+
+    def _begin_history(self) -> None:
+        """Take no conviction for stored, as the store was restored from an older copy.
+
+        Those that it still has are applied again when all keys are read; the others are written
+        again.
+        """
+        self._stored.clear()
 
     def apply(self, key: str, value: bytes | None) -> None:
         """Apply a change of a conviction in the store.
--- a/basilwinch/peers/exchange.py
+++ b/basilwinch/peers/exchange.py
@@ -23,6 +23,9 @@
 _MAX_SUSPECT_BYTES = 8192  # in a report; an entry takes about 150 bytes
 _LEASE_TTL_S = 12.0  # a node that stopped still gets reports until its lease expires
 _RENEW_INTERVAL_S = 4.0
+# After a restore of the store, nodes check their registrations at this rate in all, half of the
+# writes that a small store takes.
+_FLEET_CHECKS_PER_S = 200.0
 _MAX_DATAGRAM_BYTES = 65535
 
 
@@ -53,6 +56,7 @@
         "_sequence",
         "_report_requested",
         "_suspects_changed",
+        "_restored",
         "_log",
         "_rng",
     )
@@ -70,6 +74,8 @@
         self._sequence = 0
         self._report_requested = trio.Event()
         self._suspects_changed = trio.Event()
+        self._restored = trio.Event()
+        store.history.subscribe(self._notify_restored)
         load.on_suspect = self._request_report
         self._peers: dict[str, str] = {}
         self._log = structlog.get_logger("peers")
@@ -107,13 +113,18 @@
             nursery.start_soon(self._send, sock)
 
     async def _register(self) -> None:
-        lease = None
+        """Register, and renew the registration or find it again after a restore of the store."""
+        lease, history = None, self._store.history.number
         while True:
             try:
+                if history != self._store.history.number:
+                    # The lease may have been lost, and its id given to another node.
+                    lease, asked_in = None, self._store.history.number
+                    lease = await self._find_lease()
+                    history = asked_in
                 if lease is None:
                     grant = await self._store.grant(_LEASE_TTL_S)
-                    value = json.dumps({"ip": self._ip}).encode()
-                    put = KeyValue(NODES_PREFIX + self._name, value, 0, grant.lease)
+                    put = KeyValue(NODES_PREFIX + self._name, self._registration, 0, grant.lease)
                     await self._store.transact([], [put])
                     lease = grant.lease
                 else:
@@ -122,7 +133,28 @@
                 if error.failure.kind is LEASE_LOST:
                     lease = None
                 self._log.info("node registration or renewal failed", reason=error.failure.reason)
-            await trio.sleep(_RENEW_INTERVAL_S * self._rng.uniform(0.8, 1.0))
+            await self._wait_for_renewal()
+
+    @property
+    def _registration(self) -> bytes:
+        return json.dumps({"ip": self._ip}).encode()
+
+    async def _find_lease(self) -> int | None:
+        """Return the lease of this node's registration in the store, None if it must register."""
+        found = await self._store.get(NODES_PREFIX + self._name)
+        is_own = found is not None and found.value == self._registration
+        self._log.info("registration checked after a restore of the store", found=is_own)
+        return found.lease if is_own and found.lease else None
+
+    async def _wait_for_renewal(self) -> None:
+        """Wait until the lease must be renewed; a restore of the store ends the wait early."""
+        with trio.move_on_after(_RENEW_INTERVAL_S * self._rng.uniform(0.8, 1.0)):
+            await self._restored.wait()
+            await trio.sleep(self._rng.uniform(0, self.node_count / _FLEET_CHECKS_PER_S))
+        self._restored = trio.Event()
+
+    def _notify_restored(self) -> None:
+        self._restored.set()
 
     def notify_suspects_changed(self) -> None:
         """Send the suspects to all peers soon if the evidence has changed."""
--- a/basilwinch/peers/tests/test_convictions.py
+++ b/basilwinch/peers/tests/test_convictions.py
@@ -9,7 +9,7 @@
 from basilwinch.exception import PLATFORM_UNAVAILABLE, Failure, PlatformError
 from basilwinch.observability import DecisionLog
 from basilwinch.peers.convictions import CONVICTIONS_PREFIX, ConvictionRecords
-from basilwinch.store import LeaseGrant, Transaction
+from basilwinch.store import LeaseGrant, StoreHistory, Transaction
 from basilwinch.suspicion import SuspectConfig, SuspectRegistry, digest_part
 
 BAD = digest_part("bad")
@@ -24,6 +24,7 @@
         self.nodes: list[ConvictionRecords] = []
         self.writes = 0
         self.is_down = False
+        self.history = StoreHistory()
 
     async def grant(self, ttl_s):
         if self.is_down:
