Hold a lease after a restore only if it is found in the store again

Callers would see: two layout controllers that order servers to and fro, or none for long; a node that renews or ends the lease of another. Cause: lease ids and revisions are given out again by a restored store. A renewal of an id that belongs to another node succeeded; a fencing token of the new history was lower than earlier ones, and a base against that was known only to the process that had seen the higher ones. Change: a held lease is not valid after a restore until the value of its key has been found again, and is renewed or ended by the id that the key has then. Fencing tokens begin with the era. A node acquires no lease for one time to live after a restore, so that a holder that has not noticed yet cannot overlap.

--- a/basilwinch/lease/holder.py
+++ b/basilwinch/lease/holder.py
@@ -17,6 +17,9 @@
 __all__ = ["LEASE_KEY_PREFIX", "HeldLease", "LeaseConfig", "LeaseHolder"]
 
 LEASE_KEY_PREFIX = "basilwinch/lease/"
+# Fencing tokens of a later era of the store are higher, as revisions stay below 2 to this power.
+_REVISION_BITS = 32
+_RETRY_PAUSE_S = 0.1  # after a failed renewal
 
 
 class LeaseConfig(Record):
@@ -44,22 +47,44 @@
     they have seen a newer token. The others are protected if the pause and the order together take
     less than ``ttl_s + margin_s + longest_order_s``.
 
+    After a restore of the store the lease is not valid until its holder has found it there again.
+
     :param fence: fencing token; increases with each holder
     :param valid_until: time at which the holder stops unless the lease is renewed
     :param unfenced_orders_from: time from which orders may be sent to servers that do not check
         fencing tokens, because no order of an earlier holder can take effect any more
+    :param history: :class:`~basilwinch.store.StoreHistory` of the store
+    :param lease: id of the lease on the platform
+    :param value: value of the lease key, which no other holder writes
     """
 
-    __slots__ = ("fence", "valid_until", "unfenced_orders_from", "_ended")
-
-    def __init__(self, fence: int, valid_until: float, unfenced_orders_from: float):
+    __slots__ = (
+        "fence",
+        "valid_until",
+        "unfenced_orders_from",
+        "lease",
+        "value",
+        "_history",
+        "_found_in",
+        "_ended",
+    )
+
+    def __init__(self, fence, valid_until, unfenced_orders_from, history, lease: int, value: bytes):
         self.fence = fence
+        self.lease = lease
+        self.value = value
+        self._history = history
+        self._found_in = history.number
         self.valid_until = valid_until
         self.unfenced_orders_from = unfenced_orders_from
         self._ended = False
 
     def check(self, now: float) -> Failure | None:
         """Return a ``LEASE_LOST`` failure if the lease may have ended, else None."""
+        if not self.is_found:
+            return LEASE_LOST.because(
+                f"the lease with fencing token {self.fence} may be lost in a restore of the store"
+            )
         if self._ended or now >= self.valid_until:
             return LEASE_LOST.because(
                 f"the lease with fencing token {self.fence} has ended or was not renewed in time"
@@ -79,6 +104,20 @@
             return LEASE_LOST.because(reason, retry_after=wait_s)
         return failure
 
+    @property
+    def is_found(self) -> bool:
+        """Whether the lease was acquired or found again in the store's current history."""
+        return self._found_in == self._history.number
+
+    def record_found(self, history: int, lease: int) -> None:
+        """Record that the lease is in the store after a restore.
+
+        :param history: number of the history in which it was looked for
+        :param lease: id of the lease of its key
+        """
+        self._found_in = history
+        self.lease = lease
+
     def end(self) -> None:
         """Mark the lease as ended."""
         self._ended = True
@@ -90,7 +129,8 @@
     The fencing token is the revision of the last change of the lease key plus a stored base. The
     base is 0 unless the platform was restored from an older state, after which revisions are lower
     than before. The base then raises the tokens above those that servers have seen
-    (:meth:`record_fence`).
+    (:meth:`record_fence`). A store that names its era raises them by that alone, also above those
+    of holders that this node has never heard of.
 
     :param config: :class:`LeaseConfig`
     :param store: key-value service
@@ -143,13 +183,17 @@
                 if acquired is None:
                     await self._wait_for_release()
                     continue
-                await self._run_task(task, *acquired)
+                await self._run_task(task, acquired)
             except PlatformError as error:
                 self._log.warning("lease acquisition or watch failed", reason=error.failure.reason)
             await trio.sleep(self._config.ttl_s / 4 * self._rng.uniform(0.5, 1.5))
 
-    async def _acquire(self) -> tuple[HeldLease, int] | None:
-        """Return the acquired lease and its platform id, or None if it was not acquired."""
+    async def _acquire(self) -> HeldLease | None:
+        """Return the acquired lease, or None if it was not acquired."""
+        history = self._store.history
+        # The holder of a lease that a restore has lost may not have noticed yet.
+        while trio.current_time() < history.began_at + self._config.ttl_s:
+            await trio.sleep_until(history.began_at + self._config.ttl_s)
         if await self._store.get(self._key) is not None:
             return None
         fence_base = await self._read_fence_base()
@@ -171,18 +215,20 @@
             revision = found.mod_revision if found and found.value == value else 0
         if not revision:
             return None
-        fence = revision + int(fence_base.value)
+        fence = (history.era << _REVISION_BITS) + revision + int(fence_base.value)
+        ttl_s = min(grant.ttl_s, self._config.ttl_s)
+        valid_until = started_at + ttl_s - self._config.margin_s
+        wait_s = self._config.ttl_s + self._config.longest_order_s
+        unfenced_from = trio.current_time() + wait_s
+        held = HeldLease(fence, valid_until, unfenced_from, history, grant.lease, value)
         if fence <= self._highest_fence:
             await self._raise_fence_base(fence_base, fence)
-            await self._release(grant.lease)
+            await self._release(held)
             return None
         self._highest_fence = fence
-        ttl_s = min(grant.ttl_s, self._config.ttl_s)
-        valid_until = started_at + ttl_s - self._config.margin_s
-        wait_s = self._config.ttl_s + self._config.longest_order_s
-        self._held = HeldLease(fence, valid_until, trio.current_time() + wait_s)
+        self._held = held
         self._log.info("lease acquired", fence=fence)
-        return self._held, grant.lease
+        return held
 
     async def _read_fence_base(self) -> KeyValue:
         found = await self._store.get(self._fence_base_key)
@@ -196,7 +242,7 @@
             "fencing token base raised", highest_seen=self._highest_fence, fence_base=int(value)
         )
 
-    async def _run_task(self, task, held: HeldLease, lease: int):
+    async def _run_task(self, task, held: HeldLease):
         try:
             async with trio.open_nursery() as nursery:
 
@@ -207,7 +253,7 @@
                         self._log.warning("lease task failed", reason=error.failure.reason)
                     nursery.cancel_scope.cancel()
 
-                nursery.start_soon(self._renew, held, lease, nursery.cancel_scope)
+                nursery.start_soon(self._renew, held, nursery.cancel_scope)
                 nursery.start_soon(run_task)
         finally:
             held.end()
@@ -215,36 +261,58 @@
             self._log.info("lease ended", fence=held.fence)
             # Shielded, so that a stopping node releases the lease for the next holder.
             with trio.CancelScope(shield=True):
-                await self._release(lease)
+                await self._release(held)
+
+    async def _renew(self, held: HeldLease, scope: trio.CancelScope):
+        """Renew the lease until it cannot be renewed in time, then cancel the task.
 
-    async def _renew(self, held: HeldLease, lease: int, scope: trio.CancelScope):
-        """Renew the lease until it cannot be renewed in time, then cancel the task."""
+        After a restore of the store it is looked for there and renewed at once.
+        """
         renew_interval_s = (self._config.ttl_s - self._config.margin_s) / 4
         while True:
             renew_at = min(trio.current_time() + renew_interval_s, held.valid_until)
             while trio.current_time() < renew_at and held.check(trio.current_time()) is None:
                 # Waits in short steps, so that a call of ``end()`` cancels the task promptly.
                 await trio.sleep(min(0.1, renew_at - trio.current_time()))
-            if held.check(trio.current_time()) is not None:
+            if held.is_found and held.check(trio.current_time()) is not None:
                 break
             with trio.move_on_at(held.valid_until):
                 started_at = trio.current_time()
                 try:
-                    grant = await self._store.keep_alive(lease)
+                    if not held.is_found and not await self._find(held):
+                        break
+                    grant = await self._store.keep_alive(held.lease)
                 except PlatformError as error:
                     if error.failure.kind is LEASE_LOST:
                         break
+                    await trio.sleep(_RETRY_PAUSE_S)
                     continue
                 ttl_s = min(grant.ttl_s, self._config.ttl_s)
                 held.valid_until = max(held.valid_until, started_at + ttl_s - self._config.margin_s)
+            if trio.current_time() >= held.valid_until:
+                break
         held.end()
         scope.cancel()
 
-    async def _release(self, lease: int):
+    async def _find(self, held: HeldLease) -> bool:
+        """Look for a lease after a restore of the store; return whether it is still held.
+
+        Its id may have been given to another node, so the value of its key decides.
+        """
+        asked_in = self._store.history.number
+        found = await self._store.get(self._key)
+        is_own = found is not None and found.value == held.value
+        if is_own:
+            held.record_found(asked_in, found.lease)
+        self._log.info("lease checked after a restore of the store", found=is_own)
+        return is_own
+
+    async def _release(self, held: HeldLease):
         """Release the lease early; if that fails, it expires by itself."""
         with trio.move_on_after(min(1.0, self._config.margin_s)):
             try:
-                await self._store.revoke(lease)
+                if held.is_found or await self._find(held):
+                    await self._store.revoke(held.lease)
             except PlatformError as error:
                 self._log.info(
                     "lease release failed, lease will expire", reason=error.failure.reason
--- a/basilwinch/lease/tests/test_holder.py
+++ b/basilwinch/lease/tests/test_holder.py
@@ -37,7 +37,7 @@
 
     def __getattr__(self, name):
         call = getattr(self.store, name)
-        if name == "watch":
+        if name in ("watch", "history"):
             return call
 
         async def paused_call(*args):
--- a/basilwinch/platform/tests/test_restore.py
+++ b/basilwinch/platform/tests/test_restore.py
@@ -157,6 +157,7 @@
         site.platform.last_lease_id = max(ids)
         other = json.dumps({"owner": "n2", "token": "t"}).encode()
         site.platform.put(_LEASE_KEY, other, max(ids))
+        await site.wait_until(lambda: site.node._store.history.number == 1)
         until = {lease: site.platform.leases[lease] for lease in ids}
         await trio.sleep(5.5)
         assert site.platform.items[_LEASE_KEY][0] == other
--- a/basilwinch/standin/keyvalue.py
+++ b/basilwinch/standin/keyvalue.py
@@ -14,6 +14,7 @@
     PLATFORM_UNAVAILABLE,
     PlatformError,
 )
+from basilwinch.store.history import StoreHistory
 from basilwinch.store.interface import (
     Compare,
     KeyValue,
@@ -51,6 +52,7 @@
 
     def __init__(self, latency_s: float = 0.002, max_retained_events: int = 10_000):
         self.latency_s = latency_s
+        self.history = StoreHistory()  # names no era, so that only its clients' data show a restore
         self.revision = 1
         self.calls = collections.Counter()
         self.open_watches = 0
--- a/basilwinch/store/etcd.py
+++ b/basilwinch/store/etcd.py
@@ -21,6 +21,7 @@
     PlatformError,
 )
 from basilwinch.record import Record
+from basilwinch.store.history import StoreHistory
 from basilwinch.store.interface import (
     Compare,
     KeyValue,
@@ -77,6 +78,7 @@
     def __init__(self, config: EtcdConfig):
         self._endpoints = [endpoint.rstrip("/") for endpoint in config.endpoints]
         self._timeout_s = config.timeout_s
+        self.history = StoreHistory()  # etcd names no era
         self._endpoint_index = 0
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=64, keepalive_expiry=30.0, socket_options=_TCP_KEEPALIVE_OPTIONS
--- a/basilwinch/store/interface.py
+++ b/basilwinch/store/interface.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 from basilwinch.record import Record
+from basilwinch.store.history import StoreHistory
 
 __all__ = [
     "Compare",
@@ -77,8 +78,12 @@
 
     Every method raises ``PlatformError`` with ``PLATFORM_UNAVAILABLE`` if the call certainly had no
     effect, or ``PLATFORM_AMBIGUOUS`` if it may have had one.
+
+    :param history: tells whether the store was restored from an older copy
     """
 
+    history: StoreHistory
+
     async def get(self, key: str) -> KeyValue | None:
         """Return a key with its value, or None if it does not exist."""
 
