Write layouts again that a restored store has lost, while the lease is held

Callers would see: layers that are moved back to where they were some seconds ago. Cause: the controller kept its layout but not what the store had, and a write on the condition of a revision could hit another value after that revision had been given out again. Change: after a restore the holder of the lease writes its layouts again over older ones. Writes are also conditioned on the lease key, so that only its holder writes. Result: test_layout_that_the_store_lost_is_written_again_by_its_writer failed before and passes.

--- a/basilwinch/chains/controller.py
+++ b/basilwinch/chains/controller.py
@@ -49,6 +49,7 @@
         "_load",
         "_pending_orders",
         "_lost_at",
+        "_layout_history",
         "_log",
         "_clock",
     )
@@ -63,6 +64,7 @@
         # By server id: layers ordered, and the time at which the order may be sent again.
         self._pending_orders: dict[str, tuple[tuple[int, int], float]] = {}
         self._lost_at: dict[str, float] = {}
+        self._layout_history = store.history.number
         self._log = structlog.get_logger("layout")
 
     async def run(self, lease) -> None:
@@ -72,6 +74,7 @@
         """
         while self._view.configuration is None or not self._view.is_loaded:
             await trio.sleep(_RECONCILE_INTERVAL_S / 2)
+        self._layout_history = self._store.history.number
         layouts: dict[str, tuple[list, int]] = {}
         for service in self._list_chain_services():
             key = LAYOUT_PREFIX + service.name
@@ -79,10 +82,29 @@
         if self._is_incomplete([chains for chains, _ in layouts.values()]):
             await self._wait_for_servers()
         while True:
-            for service in self._list_chain_services():
-                await self._reconcile_service(service, layouts, lease)
+            if lease.check(self._clock()) is None:
+                await self._restore_layouts(layouts, lease)
+                for service in self._list_chain_services():
+                    await self._reconcile_service(service, layouts, lease)
             await trio.sleep(_RECONCILE_INTERVAL_S)
 
+    async def _restore_layouts(self, layouts, lease) -> None:
+        """Write the layouts again if the store was restored from a copy that has older ones.
+
+        No other node can have written one since, as this node still holds the lease.
+        """
+        history = self._store.history.number
+        if history == self._layout_history:
+            return
+        for key, (chains, _) in layouts.items():
+            stored, revision = await self._read_layout(key)
+            if stored != chains:
+                layouts[key] = await self._write_layout(key, chains, revision, lease)
+                self._log.info("layout written again after a restore of the store", key=key)
+            else:
+                layouts[key] = (chains, revision)
+        self._layout_history = history
+
     def _list_chain_services(self) -> list:
         services = self._view.configuration.services.values()
         return [service for service in services if service.engine is not None]
@@ -114,7 +136,7 @@
             servers, service.engine, chains, self._find_recently_lost(servers, chains)
         )
         if planned != chains:
-            layouts[key] = await self._write_layout(key, planned, revision)
+            layouts[key] = await self._write_layout(key, planned, revision, lease)
             self._log.info("layout planned", service=service.name, chains=_format_chains(planned))
         entries = {server.id: server for server in servers}
         async with trio.open_nursery() as nursery:
@@ -148,13 +170,14 @@
             )
             return [], item.mod_revision
 
-    async def _write_layout(self, key: str, chains, revision: int) -> tuple[list, int]:
+    async def _write_layout(self, key: str, chains, revision: int, lease) -> tuple[list, int]:
+        """Write a layout if neither it nor the lease has changed; return the one in the store."""
         rows = [[[m.server, m.first, m.end] for m in chain] for chain in chains]
         put = KeyValue(key, json.dumps(rows).encode(), 0)
-        outcome = await self._store.transact([Compare(key, revision)], [put])
+        outcome = await self._store.transact([Compare(key, revision), lease.condition], [put])
         if outcome.succeeded:
             return chains, outcome.revision
-        self._log.warning("layout not written, another node has changed it", key=key)
+        self._log.warning("layout not written, another node has changed it or the lease", key=key)
         return await self._read_layout(key)
 
     def _begin_order(self, entry, member: ChainMember, engine) -> bool:
--- a/basilwinch/chains/tests/test_controller.py
+++ b/basilwinch/chains/tests/test_controller.py
@@ -8,7 +8,7 @@
 
 from basilwinch.chains import FleetLoad, plan_chains
 from basilwinch.chains.controller import LAYOUT_PREFIX, LayoutController
-from basilwinch.store import KeyValue, Transaction
+from basilwinch.store import Compare, KeyValue, StoreHistory, Transaction
 from basilwinch.view import CallerLimits, Configuration, Service, View
 
 
@@ -18,6 +18,7 @@
     def __init__(self):
         self.items = {}
         self.written_at = []
+        self.history = StoreHistory()
 
     async def get(self, key):
         return self.items.get(key)
@@ -40,6 +41,8 @@
 
 
 class Lease:
+    condition = Compare("lease", 1)
+
     def check(self, now):
         return None
 
--- a/basilwinch/lease/holder.py
+++ b/basilwinch/lease/holder.py
@@ -56,6 +56,7 @@
     :param history: :class:`~basilwinch.store.StoreHistory` of the store
     :param lease: id of the lease on the platform
     :param value: value of the lease key, which no other holder writes
+    :param condition: condition that holds for a write while the lease key is this holder's
     """
 
     __slots__ = (
@@ -64,13 +65,24 @@
         "unfenced_orders_from",
         "lease",
         "value",
+        "condition",
         "_history",
         "_found_in",
         "_ended",
     )
 
-    def __init__(self, fence, valid_until, unfenced_orders_from, history, lease: int, value: bytes):
+    def __init__(
+        self,
+        fence,
+        valid_until,
+        unfenced_orders_from,
+        history,
+        lease: int,
+        value: bytes,
+        condition: Compare,
+    ):
         self.fence = fence
+        self.condition = condition
         self.lease = lease
         self.value = value
         self._history = history
@@ -109,14 +121,15 @@
         """Whether the lease was acquired or found again in the store's current history."""
         return self._found_in == self._history.number
 
-    def record_found(self, history: int, lease: int) -> None:
+    def record_found(self, history: int, item: KeyValue) -> None:
         """Record that the lease is in the store after a restore.
 
         :param history: number of the history in which it was looked for
-        :param lease: id of the lease of its key
+        :param item: its key
         """
         self._found_in = history
-        self.lease = lease
+        self.lease = item.lease
+        self.condition = Compare(item.key, item.mod_revision)
 
     def end(self) -> None:
         """Mark the lease as ended."""
@@ -220,7 +233,8 @@
         valid_until = started_at + ttl_s - self._config.margin_s
         wait_s = self._config.ttl_s + self._config.longest_order_s
         unfenced_from = trio.current_time() + wait_s
-        held = HeldLease(fence, valid_until, unfenced_from, history, grant.lease, value)
+        condition = Compare(self._key, revision)
+        held = HeldLease(fence, valid_until, unfenced_from, history, grant.lease, value, condition)
         if fence <= self._highest_fence:
             await self._raise_fence_base(fence_base, fence)
             await self._release(held)
@@ -303,7 +317,7 @@
         found = await self._store.get(self._key)
         is_own = found is not None and found.value == held.value
         if is_own:
-            held.record_found(asked_in, found.lease)
+            held.record_found(asked_in, found)
         self._log.info("lease checked after a restore of the store", found=is_own)
         return is_own
 
