Ask peers for their version before a view is confirmed at a start or after a restore

Callers would see: a node that starts while the store shows an older copy, and refuses what its peers serve, or serves a key that was taken away. Cause: a node judged by the store alone. Change: load reports carry the version in force. A node that starts, or sees a restore, asks its registered peers, for one second at most, and takes no view for complete before. A version that a peer has and this node lacks makes its view as old as when that version may have come into force, so keys and denials are refused by the limits of age that exist. A version that is first heard of later counts from then on, so that changes that spread cause no refusals.

--- a/basilwinch/entry/node.py
+++ b/basilwinch/entry/node.py
@@ -120,9 +120,10 @@
             self.load,
             SuspectExchange(self._suspects, _MAX_SUSPECTS_PER_REPORT, _SUSPECT_RESEND_PERIOD_S),
             self._server_limits,
-            lambda: len(self.view.servers),
+            self.view,
             rng,
         )
+        self.view.set_peers(self._peers.count_peers, self._peers.request_full_report)
         self._convictions = ConvictionRecords(self._suspects, self._store, rng)
         self._suspects.on_change = self._peers.notify_suspects_changed
         self._store_watcher = StoreWatcher(source, self.view, rng, read_boot_clock)
--- a/basilwinch/peers/codec.py
+++ b/basilwinch/peers/codec.py
@@ -15,13 +15,20 @@
 # A list of empty rows takes no bytes, so a damaged message may claim any number of them.
 _MAX_ROWS = 1 << 14
 _MAX_UINT32 = (1 << 32) - 1
+_MAX_UINT64 = (1 << 64) - 1
 
 capnp.remove_import_hook()
 _schema = capnp.load(str(pathlib.Path(__file__).with_name("schema.capnp")))
 
 
 def encode_report(
-    node: str, sequence: int, report: NodeReport, suspects: bytes = b"", usage=None
+    node: str,
+    sequence: int,
+    report: NodeReport,
+    suspects: bytes = b"",
+    usage=None,
+    version: int = 0,
+    asking: bool = False,
 ) -> bytes:
     """Encode a report; numbers above the maximum of a 32-bit field are sent as that maximum.
 
@@ -31,13 +38,21 @@
     :param suspects: entries of suspects
     :param usage: seconds covered, and :class:`~basilwinch.chains.server_limits.ServerUsage` by hash
         of the server, or None
+    :param version: version of the configuration that is in force, 0 for none
+    :param asking: whether the node waits for the versions of others
 
     >>> data = encode_report("n1", 7, NodeReport({5: RequestLoad(1, 800)}, {9: 0.5}), b"x")
-    >>> node, sequence, report, suspects, usage = decode_report(data)
-    >>> node, sequence, report.shares[5].token_layers, report.avoided, suspects, usage
-    ('n1', 7, 800, {9: 0.5}, b'x', None)
+    >>> node, sequence, report, suspects, usage, version, asking = decode_report(data)
+    >>> node, sequence, report.shares[5].token_layers, report.avoided, suspects, usage, version
+    ('n1', 7, 800, {9: 0.5}, b'x', None, 0)
     """
-    message = _schema.LoadReport.new_message(node=node, sequence=sequence, suspects=suspects)
+    message = _schema.LoadReport.new_message(
+        node=node,
+        sequence=sequence,
+        suspects=suspects,
+        version=min(_MAX_UINT64, max(0, version)),
+        asking=asking,
+    )
     rows = message.init("shares", len(report.shares))
     for row, (server_hash, share) in zip(rows, report.shares.items(), strict=True):
         row.server = server_hash
@@ -66,8 +81,9 @@
 def decode_report(data: bytes) -> tuple | Failure:
     """Decode a report.
 
-    :returns: node, sequence number, report, entries of suspects, and usage of servers with a limit
-        or None; or ``MALFORMED_USAGE``
+    :returns: node, sequence number, report, entries of suspects, usage of servers with a limit or
+        None, version of the configuration, and whether the node asks for those of others; or
+        ``MALFORMED_USAGE``
     """
     try:
         with _schema.LoadReport.from_bytes(unpack(data)) as message:
@@ -84,7 +100,15 @@
     avoided = {row.server: row.forMs / 1000 for row in message.avoided}
     report = NodeReport(shares, avoided)
     usage = _decode_usage(message) if message.usageMs else None
-    return message.node, message.sequence, report, bytes(message.suspects), usage
+    return (
+        message.node,
+        message.sequence,
+        report,
+        bytes(message.suspects),
+        usage,
+        message.version,
+        message.asking,
+    )
 
 
 def _decode_usage(message) -> tuple[float, dict[int, ServerUsage]]:
--- a/basilwinch/peers/exchange.py
+++ b/basilwinch/peers/exchange.py
@@ -8,6 +8,7 @@
 from basilwinch.exception import LEASE_LOST, Failure, PlatformError
 from basilwinch.peers.codec import decode_report, encode_report
 from basilwinch.store import KeyValue
+from basilwinch.view import read_boot_clock
 
 __all__ = ["NODES_PREFIX", "PeerExchange"]
 
@@ -39,7 +40,7 @@
     :param load: :class:`~basilwinch.chains.load.FleetLoad`
     :param suspects: :class:`~basilwinch.suspicion.SuspectExchange`
     :param server_limits: :class:`~basilwinch.chains.server_limits.ServerLimits`
-    :param count_servers: function that returns the number of registered servers
+    :param view: :class:`~basilwinch.view.View`, whose version is exchanged too
     :param rng: random number generator for the jitter of renewals
     """
 
@@ -51,7 +52,8 @@
         "_load",
         "_suspects",
         "_server_limits",
-        "_count_servers",
+        "_view",
+        "_must_send",
         "_peers",
         "_sequence",
         "_report_requested",
@@ -61,7 +63,7 @@
         "_rng",
     )
 
-    def __init__(self, name, ip, port, store, load, suspects, server_limits, count_servers, rng):
+    def __init__(self, name, ip, port, store, load, suspects, server_limits, view, rng):
         self._name = name
         self._ip = ip
         self._port = port
@@ -69,7 +71,8 @@
         self._load = load
         self._suspects = suspects
         self._server_limits = server_limits
-        self._count_servers = count_servers
+        self._view = view
+        self._must_send = False
         self._rng = rng
         self._sequence = 0
         self._report_requested = trio.Event()
@@ -85,6 +88,10 @@
         """Number of registered nodes, including this one."""
         return max(1, len(self._peers) + 1)
 
+    def count_peers(self) -> int:
+        """Return the number of other registered nodes."""
+        return len(self._peers)
+
     def apply(self, key: str, value: bytes | None) -> None:
         """Apply a change of a node's registration.
 
@@ -99,6 +106,8 @@
             self._server_limits.forget_node(name)
             return
         try:
+            if name not in self._peers:
+                self.request_full_report()
             self._peers[name] = json.loads(value)["ip"]
         except (ValueError, KeyError, TypeError) as error:
             self._log.warning("node registration malformed", node=name, error=repr(error))
@@ -155,6 +164,7 @@
 
     def _notify_restored(self) -> None:
         self._restored.set()
+        self.request_full_report()
 
     def notify_suspects_changed(self) -> None:
         """Send the suspects to all peers soon if the evidence has changed."""
@@ -164,27 +174,31 @@
     async def _send(self, sock) -> None:
         last_was_empty = False
         while True:
-            peers = dict(self._peers)
             self._load.report_interval_s = max(
-                _MIN_REPORT_INTERVAL_S, len(peers) / _MAX_REGULAR_DATAGRAMS_PER_S
+                _MIN_REPORT_INTERVAL_S, len(self._peers) / _MAX_REGULAR_DATAGRAMS_PER_S
             )
             await self._wait_until_report_is_due()
+            peers = dict(self._peers)
             self._server_limits.set_nodes(self.node_count, self._load.report_interval_s)
             report, suspects = self._build_report()
             usage = self._server_limits.build_report()
             is_empty = not (report.shares or report.avoided or suspects or usage[1])
-            if not is_empty or not last_was_empty:
+            if not is_empty or not last_was_empty or self._must_send:
+                self._must_send = False
                 await self._send_report(sock, peers, report, suspects, usage)
             last_was_empty = is_empty
 
     def _build_report(self) -> tuple:
         """Return the load report and the suspects of this node."""
         suspects = self._suspects.export(_MAX_SUSPECT_BYTES, trio.current_time())
-        return self._load.build_report(self._count_servers()), suspects
+        return self._load.build_report(len(self._view.servers)), suspects
 
     async def _send_report(self, sock, peers: dict[str, str], report, suspects, usage=None):
         self._sequence += 1
-        data = encode_report(self._name, self._sequence, report, suspects, usage)
+        is_asking = self._view.peer_versions.is_asking
+        data = encode_report(
+            self._name, self._sequence, report, suspects, usage, self._view.version, is_asking
+        )
         for name, ip in peers.items():
             try:
                 await sock.sendto(data, (ip, self._port))
@@ -212,13 +226,18 @@
         await trio.sleep_until(not_before)
         nursery.cancel_scope.cancel()
 
+    def request_full_report(self) -> None:
+        """Send a report soon, though it may be empty, so that peers learn of the version."""
+        self._must_send = True
+        self._suspects_changed.set()
+
     def _request_report(self) -> None:
         self._report_requested.set()
 
     async def _receive(self, sock) -> None:
         while True:
             try:
-                data, _ = await sock.recvfrom(_MAX_DATAGRAM_BYTES)
+                data, address = await sock.recvfrom(_MAX_DATAGRAM_BYTES)
             except OSError as error:
                 self._log.info("receiving load reports failed", error=repr(error))
                 continue
@@ -226,13 +245,23 @@
             if not message:
                 self._log.warning("load report malformed", reason=message.reason)
                 continue
-            node, _, report, suspects, usage = message
+            node, _, report, suspects, usage, version, is_asking = message
+            if node in self._peers:
+                self._view.record_peer_version(version, read_boot_clock())
+            if is_asking or 0 < version < self._view.version:
+                await self._answer(sock, node, address[0])
             self._load.apply_report(node, report)
             if usage is not None and node in self._peers:
                 self._server_limits.apply_report(node, *usage)
             if suspects:
                 await self._merge_suspects(sock, node, suspects)
 
+    async def _answer(self, sock, node: str, ip: str) -> None:
+        """Send a report to a node whose version is behind or that asks for the version."""
+        if node != self._name:
+            report, suspects = self._build_report()
+            await self._send_report(sock, {node: ip}, report, suspects)
+
     async def _merge_suspects(self, sock, node: str, data: bytes) -> None:
         """Merge the suspects of a peer; answer it if this node can vouch for one of them."""
         can_vouch = self._suspects.merge_broadcast(data, trio.current_time())
--- a/basilwinch/peers/schema.capnp
+++ b/basilwinch/peers/schema.capnp
@@ -11,6 +11,10 @@
   # 0 if the report has no usage of servers with a limit; an empty list then says nothing.
   usageMs @5 :UInt32;
   limited @6 :List(Limited);
+  # Version of the configuration in force, 0 for none.
+  version @7 :UInt64;
+  # Whether the sender waits for the versions of others.
+  asking @8 :Bool;
 
   struct Share {
     server @0 :UInt32;
--- a/basilwinch/platform/tests/test_restore.py
+++ b/basilwinch/platform/tests/test_restore.py
@@ -6,7 +6,9 @@
 import trio
 
 from basilwinch.chains.controller import LAYOUT_PREFIX
+from basilwinch.chains.load import NodeReport
 from basilwinch.lease.holder import LEASE_KEY_PREFIX
+from basilwinch.peers.codec import decode_report, encode_report
 from basilwinch.peers.convictions import CONVICTIONS_PREFIX
 from basilwinch.peers.exchange import NODES_PREFIX
 from basilwinch.view import read_boot_clock
@@ -27,6 +29,25 @@
     return write
 
 
+class Peer:
+    """A peer on another loopback address, which answers each report with a version."""
+
+    def __init__(self, site, version):
+        self.site = site
+        self.version = version
+        self.asked = 0
+
+    async def run(self) -> None:
+        sock = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM)
+        await sock.bind(("127.0.0.2", self.site.settings.peer_port))
+        while True:
+            data, address = await sock.recvfrom(65535)
+            self.asked += decode_report(data)[6]
+            report = NodeReport({}, {})
+            answer = encode_report("n2", 1, report, version=self.version)
+            await sock.sendto(answer, address)
+
+
 def _is_current(site, version) -> bool:
     view = site.node.view
     return view.configuration.version == version and view.age(read_boot_clock()) < 1.0
@@ -241,3 +262,42 @@
         assert "p0" in site.node.view.servers
 
     run_with(test)
+
+
+def test_node_does_not_serve_from_a_copy_that_is_older_than_a_peer_says(run_with, write_version):
+    """Guards against a node that starts on an older copy and serves a key that was taken away, or
+    refuses what its peers serve."""
+
+    async def test(site):
+        site.platform.put(NODES_PREFIX + "n2", b'{"ip": "127.0.0.2"}')
+        await site.wait_until(lambda: site.node._peers.count_peers() == 1)
+        peer = Peer(site, 9)
+        site.nursery.start_soon(peer.run)
+        site.node.view.confirmed_at = float("-inf")
+        site.platform.restore(site.platform.copy())
+        await site.wait_until(lambda: peer.asked)
+        await trio.sleep(1.2)
+        assert (await site.call(b"GET", b"/safe/a", b"r1"))[0] == 503
+        assert (await site.call(b"GET", b"/none/a", b"r2"))[0] == 503
+        assert await site.read_readiness() == 503
+        write_version(site, 9)
+        await site.wait_until(lambda: _is_current(site, 9))
+        assert (await site.call(b"GET", b"/safe/a", b"r3"))[0] == 200
+        assert (await site.call(b"GET", b"/none/a", b"r4"))[0] == 404
+
+    run_with(test)
+
+
+def test_peer_that_does_not_answer_delays_a_node_only_for_a_second(run_with):
+    """Guards against nodes that wait for each other for ever after all of them were killed."""
+
+    async def test(site):
+        site.platform.put(NODES_PREFIX + "n2", b'{"ip": "127.0.0.2"}')
+        await site.wait_until(lambda: site.node._peers.count_peers() == 1)
+        site.node.view.confirmed_at = float("-inf")
+        site.platform.restore(site.platform.copy())
+        with trio.fail_after(2.5):
+            while await site.read_readiness() != 200:
+                await trio.sleep(0.1)
+
+    run_with(test)
--- a/basilwinch/view/state.py
+++ b/basilwinch/view/state.py
@@ -5,6 +5,7 @@
 import structlog
 
 from basilwinch.view.configuration import Configuration
+from basilwinch.view.peer_versions import PeerVersions
 from basilwinch.view.server import ServerEntry
 
 __all__ = ["View", "read_boot_clock"]
@@ -21,7 +22,8 @@
 class View:
     """The newest configuration and the registered servers.
 
-    The version of the configuration never decreases within one process.
+    The version of the configuration never decreases within one process. ``confirmed_at`` is the
+    time at which the view was last known to be complete.
     """
 
     __slots__ = (
@@ -29,6 +31,10 @@
         "servers",
         "by_service",
         "confirmed_at",
+        "peer_versions",
+        "_count_peers",
+        "_notify_asking",
+        "_read_at",
         "_log",
     )
 
@@ -37,6 +43,10 @@
         self.servers: dict[str, ServerEntry] = {}
         self.by_service: dict[str, list[ServerEntry]] = {}
         self.confirmed_at = float("-inf")
+        self.peer_versions = PeerVersions()
+        self._count_peers = None
+        self._notify_asking = None
+        self._read_at = float("-inf")  # time at which it was last complete by the store alone
         self._log = structlog.get_logger("view")
 
     def set_configuration(self, configuration: Configuration, revision: int) -> None:
@@ -86,12 +96,52 @@
         self._index()
         self._log.info("server removed", server=server_id, revision=revision, reason=reason)
 
+    @property
+    def version(self) -> int:
+        """Version of the configuration, 0 if there is none."""
+        return self.configuration.version if self.configuration is not None else 0
+
+    def set_peers(self, count_peers, notify_asking) -> None:
+        """Ask peers before the view is confirmed for the first time, and after each restore.
+
+        :param count_peers: function that returns the number of registered peers
+        :param notify_asking: function that is called when peers must be asked
+        """
+        self._count_peers = count_peers
+        self._notify_asking = notify_asking
+
     def confirm(self, asked_at: float) -> None:
-        """Record that the view was complete at a time.
+        """Record that the view was complete at a time by what the store says.
+
+        It counts as complete only after peers have been asked.
 
         :param asked_at: time in seconds at which the query that confirms this was sent
         """
-        self.confirmed_at = max(self.confirmed_at, asked_at)
+        if self._read_at == float("-inf"):
+            self._ask_peers(asked_at)
+        self._read_at = max(self._read_at, asked_at)
+        self._accept_read()
+
+    def begin_history(self, now: float) -> None:
+        """Ask peers again, as the store was restored from an older copy."""
+        self._ask_peers(now)
+
+    def record_peer_version(self, version: int, now: float) -> None:
+        """Record the version that a peer has in force, 0 if it has none."""
+        if not version:
+            return
+        self.peer_versions.record(version, self.version, now)
+        self.peer_versions.end_asking()
+        self._accept_read()
+
+    def _ask_peers(self, now: float) -> None:
+        if self._count_peers is not None and self._count_peers():
+            self.peer_versions.ask(self.confirmed_at, now)
+            self._notify_asking()
+
+    def _accept_read(self) -> None:
+        if not self.peer_versions.is_asking:
+            self.confirmed_at = max(self.confirmed_at, self._read_at)
 
     @property
     def is_loaded(self) -> bool:
@@ -99,8 +149,13 @@
         return self.confirmed_at != float("-inf")
 
     def age(self, now: float) -> float:
-        """Return the seconds since the view was last confirmed to be complete."""
-        return now - self.confirmed_at
+        """Return the seconds since the view was last known to be complete."""
+        if self.peer_versions.is_asking and now >= self.peer_versions.ask_until:
+            self._log.info("no peer has named its version, relying on the store")
+            self.peer_versions.end_asking()
+            self._accept_read()
+        missing_since = self.peer_versions.find_missing_since(self.version, now)
+        return now - min(self.confirmed_at, missing_since)
 
     def _index(self) -> None:
         """Group the servers by service. Time is linear in their number."""
--- a/basilwinch/view/watcher.py
+++ b/basilwinch/view/watcher.py
@@ -166,6 +166,7 @@
     def _begin_history(self) -> None:
         """Read again from the store, which was restored from an older copy."""
         self._reachable_since = self._clock()
+        self._view.begin_history(self._clock())
         self._reread_at = trio.current_time()
         self._watch_scope.cancel()
 
