Soak: restore the store, silence its connections, and check denials

Cause: no soak run had a store that comes back from an older copy, or connections that stay open and carry nothing, and none looked at 401 and 404. A denial of a request whose key was never revoked is a violation in all runs.

--- a/bench/soak_processes.py
+++ b/bench/soak_processes.py
@@ -30,6 +30,10 @@
 _MAX_REVOCATION_S = 5.0  # as revoke-ms in the settings of the nodes
 _STREAM_BODY = b"".join(b"id: %d\ndata: token\n\n" % n for n in range(1, 7))
 _NOT_RUN_STATUSES = (408, 421, 429, 503)  # they promise that the request was not run
+_DENIALS = (401, 403, 404)  # wrong for each request whose key was never revoked
+_COPY_INTERVAL_S = 0.5  # between copies of the store
+_MAX_COPY_AGE_S = 6.0
+_REWRITE_DELAY_RANGE_S = (0.0, 1.0)  # until the operator and the servers write again
 
 
 class Node:
@@ -81,9 +85,15 @@
     :param folder: folder for settings and logs
     :param plant: violation to add to the results, which the checks must report: ``twice``,
         ``refused``, or empty for none
+    :param restores: whether the store is also restored from older copies, and its connections fall
+        silent; a seed stands for other faults then
     """
 
-    def __init__(self, seed: int, seconds: float, nodes: int, folder, plant: str = ""):
+    def __init__(
+        self, seed: int, seconds: float, nodes: int, folder, plant: str = "", restores: bool = False
+    ):
+        self.fault_kinds = _FAULTS + _STORE_FAULTS if restores else _FAULTS
+        self.copies: list[tuple[float, tuple]] = []
         self.rng = random.Random(seed)
         self.seconds = seconds
         self.node_count = nodes
@@ -131,11 +141,12 @@
         await trio.sleep(3.0)
         for number in range(_CALLER_COUNT):
             nursery.start_soon(self._send_requests, random.Random(self.rng.random()), number)
+        nursery.start_soon(self._copy_store)
         end = trio.current_time() + self.seconds
         async with trio.open_nursery() as faults:
             while trio.current_time() < end:
                 await trio.sleep(self.rng.uniform(*_FAULT_INTERVAL_RANGE_S))
-                fault = self.rng.choice(_FAULTS)
+                fault = self.rng.choice(self.fault_kinds)
                 self.faults.append(fault.__name__.strip("_"))
                 faults.start_soon(fault, self, self.rng.choice(self.nodes))
         await trio.sleep(_SETTLING_S)
@@ -150,6 +161,14 @@
             )
         self.stopping = True
 
+    async def _copy_store(self) -> None:
+        """Keep copies of the store from which it can be restored."""
+        while True:
+            now = trio.current_time()
+            self.copies = [c for c in self.copies if now - c[0] < _MAX_COPY_AGE_S]
+            self.copies.append((now, self.platform.copy()))
+            await trio.sleep(_COPY_INTERVAL_S)
+
     async def _send_requests(self, rng, number: int) -> None:
         count = 0
         while not self.stopping:
@@ -196,6 +215,8 @@
             self.violations.append(f"response to {request_id!r} has another x-request-id, or none")
         if response.status_code in _NOT_RUN_STATUSES:
             self.refused.add(request_id)
+        if response.status_code in _DENIALS and self.sent[request_id][0] not in self.revoked:
+            self.violations.append(f"{request_id!r} was denied with {response.status_code}")
         if response.status_code != 200:
             return
         if b"x-server-stamp" not in headers:
@@ -308,6 +329,26 @@
     soak.revoked[key] = trio.current_time()
 
 
+async def _restore_store(soak, node):
+    """Restore a copy, perhaps after an outage; its writers then write again what was lost."""
+    platform = soak.platform
+    if soak.rng.random() < 0.5:
+        await _stop_store(soak, node)
+    platform.restore(soak.rng.choice(soak.copies)[1])
+    soak.copies.clear()
+    soak.copies.append((trio.current_time(), platform.copy()))
+    await trio.sleep(soak.rng.uniform(*_REWRITE_DELAY_RANGE_S))
+    platform.put("op/config", json.dumps(soak.configuration).encode())
+    for server in platform.servers:
+        platform.register(server)
+
+
+async def _silence_store(soak, node):
+    soak.platform.silence_connections()
+
+
+_STORE_FAULTS = [_restore_store, _restore_store, _silence_store]
+
 _FAULTS = [
     _kill,
     _terminate,
@@ -324,12 +365,14 @@
 ]
 
 
-def run_seed(seed: int, seconds: float, nodes: int, folder: str, plant: str = "") -> dict:
+def run_seed(
+    seed: int, seconds: float, nodes: int, folder: str, plant: str = "", restores: bool = False
+) -> dict:
     """Run one seed and return its report."""
     with contextlib.ExitStack() as stack:
         folder = folder or stack.enter_context(tempfile.TemporaryDirectory())
         pathlib.Path(folder).mkdir(parents=True, exist_ok=True)
-        return trio.run(Soak(seed, seconds, nodes, folder, plant).run)
+        return trio.run(Soak(seed, seconds, nodes, folder, plant, restores).run)
 
 
 def main(arguments=None) -> int:
@@ -342,6 +385,7 @@
     )
     parser.add_argument("--nodes", type=int, default=4)
     parser.add_argument("--logs", default="", help="folder for logs; a temporary one by default")
+    parser.add_argument("--restores", action="store_true", help="also restore the store")
     parser.add_argument("--plant", default="", choices=["", "twice", "refused"])
     options = parser.parse_args(arguments)
     # Suppresses the stand-in's lines on intended faults; the nodes write their own logs.
@@ -351,7 +395,9 @@
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     for seed in range(options.seed, options.seed + options.seeds):
         folder = f"{options.logs}/seed-{seed}" if options.logs else ""
-        report = run_seed(seed, options.seconds, options.nodes, folder, options.plant)
+        report = run_seed(
+            seed, options.seconds, options.nodes, folder, options.plant, options.restores
+        )
         failed += bool(report["violations"])
         print(json.dumps({"seed": seed, **report}), flush=True)
     return 1 if failed else 0
--- a/bench/tests/test_soak_processes.py
+++ b/bench/tests/test_soak_processes.py
@@ -19,6 +19,14 @@
     assert report["faults"]
 
 
+@pytest.mark.parametrize("seed", [1, 2])
+def test_no_promise_is_broken_by_a_store_that_is_restored(seed, tmp_path):
+    report = run_seed(seed, seconds=6.0, nodes=3, folder=str(tmp_path), restores=True)
+    assert report["violations"] == []
+    assert report["requests"] > 200
+    assert "restore_store" in report["faults"]
+
+
 @pytest.mark.parametrize(("plant", "words"), [("twice", "ran 2 times"), ("refused", "refused")])
 def test_planted_faults_are_caught(plant, words, tmp_path):
     report = run_seed(2, seconds=1.0, nodes=2, folder=str(tmp_path), plant=plant)
