--- a/basilwinch/view/peer_versions.py
+++ b/basilwinch/view/peer_versions.py
@@ -49,18 +49,20 @@
         """Stop asking, as a peer has answered or none does in time."""
         self.is_asking = False
 
-    def record(self, version: int, own_version: int, now: float) -> None:
-        """Record the version that a peer has in force.
+    def record(self, version: int, own_version: int, now: float) -> bool:
+        """Record the version that a peer has in force; return whether it was not known of.
 
         :param own_version: version that this node has in force
         """
         if version <= own_version or version < self._version:
-            return
+            return False
+        is_new = version > self._version
         if self._version <= own_version or self._has_lapsed(now):
             self._missing_since = float("inf")
         self._version, self._heard_at = version, now
         since = self._complete_at if now < self.ask_until else now
         self._missing_since = min(self._missing_since, since)
+        return is_new
 
     def find_missing_since(self, own_version: int, now: float) -> float:
         """Return the time since when a version is missing, infinity if none is.
--- a/basilwinch/view/state.py
+++ b/basilwinch/view/state.py
@@ -120,6 +120,7 @@
         if self._read_at == float("-inf"):
             self._ask_peers(asked_at)
         self._read_at = max(self._read_at, asked_at)
+        self._end_late_asking(asked_at)
         self._accept_read()
 
     def begin_history(self, now: float) -> None:
@@ -130,7 +131,10 @@
         """Record the version that a peer has in force, 0 if it has none."""
         if not version:
             return
-        self.peer_versions.record(version, self.version, now)
+        if self.peer_versions.record(version, self.version, now):
+            self._log.info(
+                "peer has a newer configuration", version=version, own_version=self.version
+            )
         self.peer_versions.end_asking()
         self._accept_read()
 
@@ -139,6 +143,12 @@
             self.peer_versions.ask(self.confirmed_at, now)
             self._notify_asking()
 
+    def _end_late_asking(self, now: float) -> None:
+        if self.peer_versions.is_asking and now >= self.peer_versions.ask_until:
+            self._log.info("no peer has named its version, relying on the store")
+            self.peer_versions.end_asking()
+            self._accept_read()
+
     def _accept_read(self) -> None:
         if not self.peer_versions.is_asking:
             self.confirmed_at = max(self.confirmed_at, self._read_at)
@@ -150,10 +160,7 @@
 
     def age(self, now: float) -> float:
         """Return the seconds since the view was last known to be complete."""
-        if self.peer_versions.is_asking and now >= self.peer_versions.ask_until:
-            self._log.info("no peer has named its version, relying on the store")
-            self.peer_versions.end_asking()
-            self._accept_read()
+        self._end_late_asking(now)
         missing_since = self.peer_versions.find_missing_since(self.version, now)
         return now - min(self.confirmed_at, missing_since)
 
