--- a/basilwinch/view/tests/standin.py
+++ b/basilwinch/view/tests/standin.py
@@ -34,6 +34,7 @@
         self.down = False
         self.latency_s = 0.004
         self.polls = 0
+        self.scans: list[tuple[str, float]] = []  # prefix and time of each
         self.compacted = 0
         self.era = 1
         self.history = StoreHistory()
@@ -88,6 +89,7 @@
         return Position(self.history.number, self.revision)
 
     async def scan_at(self, prefix, after=""):
+        self.scans.append((prefix, trio.current_time()))
         asked_in = self.history.number
         await trio.sleep(0.004)
         self._answer()
