Split the store watcher: source of a view, keys of the nodes

Change: ViewSource and NodeKeys have modules of their own; no behaviour changed. Result: tests of the view and of the client of the store pass.

--- a/basilwinch/entry/node.py
+++ b/basilwinch/entry/node.py
@@ -30,7 +30,8 @@
 from basilwinch.suspicion import SuspectConfig, SuspectExchange, SuspectRegistry
 from basilwinch.view import CallerLimits, View, read_boot_clock
 from basilwinch.view.shared_watch import SharedWatchStore
-from basilwinch.view.watcher import StoreWatcher, ViewSource
+from basilwinch.view.source import ViewSource
+from basilwinch.view.watcher import StoreWatcher
 from basilwinch.wire import CallerConnection, ConnectionPool
 
 __all__ = ["EntryNode"]
@@ -76,7 +77,7 @@
 
     :param settings: :class:`~basilwinch.entry.settings.EntrySettings`
     :param store: key-value store
-    :param source: :class:`~basilwinch.view.watcher.ViewSource` of the view
+    :param source: :class:`~basilwinch.view.source.ViewSource` of the view
     :param dialect: decoder and encoder of header fields
     :param seed: seed of the random number generator
     """
@@ -127,7 +128,7 @@
         self._convictions = ConvictionRecords(self._suspects, self._store, rng)
         self._suspects.on_change = self._peers.notify_suspects_changed
         self._store_watcher = StoreWatcher(source, self.view, rng, read_boot_clock)
-        self._store_watcher.on_key = self._apply_key
+        self._store_watcher.node_keys.on_key = self._apply_key
         selection = ServerSelection(settings.zone, clock, rng)
         nodes = self._count_nodes
         retry_budget = RetryBudget(
--- a/basilwinch/platform/program.py
+++ b/basilwinch/platform/program.py
@@ -21,7 +21,7 @@
 )
 from basilwinch.platform.settings import SETTINGS_VARIABLE, read_settings
 from basilwinch.platform.store import MetadataStore
-from basilwinch.view.watcher import ViewSource
+from basilwinch.view.source import ViewSource
 
 __all__ = ["main"]
 
--- a/basilwinch/platform/tests/conftest.py
+++ b/basilwinch/platform/tests/conftest.py
@@ -13,7 +13,7 @@
 from basilwinch.platform.documents import CONFIGURATION_KEY, SERVERS_PREFIX
 from basilwinch.platform.tests.site import make_configuration
 from basilwinch.platform.tests.standin import StandinPlatform
-from basilwinch.view.watcher import ViewSource
+from basilwinch.view.source import ViewSource
 from basilwinch.wire import connect
 
 KEY = "key-1"
--- a/basilwinch/view/tests/standin.py
+++ b/basilwinch/view/tests/standin.py
@@ -10,7 +10,7 @@
 )
 from basilwinch.store import KeyValue, Page, Position, StoreHistory, WatchEvent
 from basilwinch.view import Configuration, ServerEntry
-from basilwinch.view.watcher import ViewSource
+from basilwinch.view.source import ViewSource
 
 __all__ = ["Store", "make_source"]
 
--- a/basilwinch/view/tests/test_restore.py
+++ b/basilwinch/view/tests/test_restore.py
@@ -64,7 +64,7 @@
 
     async def test(store, view, watcher):
         changes = []
-        watcher.on_key = lambda key, value, revision: changes.append((key, value))
+        watcher.node_keys.on_key = lambda key, value, revision: changes.append((key, value))
         copy = store.copy()
         store.put("basilwinch/nodes/n1")
         store.put("basilwinch/nodes/n2")
@@ -85,7 +85,7 @@
 
     async def test(store, view, watcher):
         changes = []
-        watcher.on_key = lambda key, value, revision: changes.append((key, value))
+        watcher.node_keys.on_key = lambda key, value, revision: changes.append((key, value))
         store.put("basilwinch/nodes/n1")
         await trio.sleep(1.0)
         store.silent = True
--- a/basilwinch/view/watcher.py
+++ b/basilwinch/view/watcher.py
@@ -6,9 +6,11 @@
 from basilwinch.exception import HISTORY_COMPACTED, HISTORY_FORKED, PlatformError
 from basilwinch.store import Position
 from basilwinch.view.departed import DepartedServers
+from basilwinch.view.node_keys import NodeKeys
+from basilwinch.view.source import ViewSource
 from basilwinch.view.state import View
 
-__all__ = ["StoreWatcher", "ViewSource"]
+__all__ = ["StoreWatcher"]
 
 _MIN_RETRY_PAUSE_S = 0.2  # after a failed call; doubles with further failures
 _MAX_RETRY_PAUSE_S = 1.0  # half of the time in which a new configuration must be applied
@@ -42,38 +44,6 @@
 _FLEET_READS_PER_S = 1000.0
 _KEYS_PER_PAGE = 500
 _MIN_RESTORED_READ_INTERVAL_S = 0.2  # if the store's answers contradict each other
-# Keys of nodes that a restore has lost are written again by their owners within this time, which is
-# also the longest lease of a node that has stopped.
-_REWRITE_TIMEOUT_S = 12.0
-
-
-class ViewSource:
-    """Names and decoders of the keys that make up the view.
-
-    :param store: store with ``history``, ``scan_at``, ``poll``, ``read_position`` and
-        ``close_idle_connections``
-    :param configuration_key: key of the configuration
-    :param servers_prefix: prefix of the servers' keys
-    :param decode_configuration: function of a value, which returns None if it can't be decoded
-    :param decode_server: function of key and value, which returns None if they can't be decoded
-    """
-
-    __slots__ = (
-        "store",
-        "configuration_key",
-        "servers_prefix",
-        "decode_configuration",
-        "decode_server",
-    )
-
-    def __init__(
-        self, store, configuration_key, servers_prefix, decode_configuration, decode_server
-    ):
-        self.store = store
-        self.configuration_key = configuration_key
-        self.servers_prefix = servers_prefix
-        self.decode_configuration = decode_configuration
-        self.decode_server = decode_server
 
 
 class StoreWatcher:
@@ -85,12 +55,12 @@
     again.
 
     A server whose entry expired during an outage of the store is removed only if it has not
-    registered again after ``_REREGISTER_TIMEOUT_S``. ``on_key`` is called with key, value and
-    revision of changes that do not belong to the view.
+    registered again after ``_REREGISTER_TIMEOUT_S``. Changes that do not belong to the view are
+    passed to ``node_keys``.
 
-    After a restore of the store the configuration is read at once, and
-    the watch goes on from there. The other keys are read after a delay that spreads the reads of
-    all nodes; until then the entries of servers are kept as they were.
+    After a restore of the store the configuration is read at once, and the watch goes on from
+    there. The other keys are read after a delay that spreads the reads of all nodes; until then the
+    entries of servers are kept as they were.
 
     :param source: :class:`ViewSource`
     :param view: :class:`View` to keep up to date
@@ -109,8 +79,6 @@
         "_remove_at",
         "_departed",
         "_nodes",
-        "_other_keys",
-        "_drop_at",
         "_position",
         "_highest",
         "_reread_at",
@@ -118,7 +86,7 @@
         "_watch_scope",
         "check_interval_s",
         "_batch_pause_s",
-        "on_key",
+        "node_keys",
     )
 
     def __init__(self, source: ViewSource, view: View, rng, clock):
@@ -132,19 +100,16 @@
         self._remove_at: dict[str, float] = {}
         self._departed = DepartedServers()
         self._nodes = 1
-        # Keys that do not belong to the view, and when those that a restore has lost are dropped.
-        self._other_keys: set[str] = set()
-        self._drop_at: dict[str, float] = {}
+        self.node_keys = NodeKeys()
         # All changes up to here are applied to the configuration, and to the other keys too unless
         # they are still to be read after a restore, at ``_reread_at``.
         self._position: Position | None = None
-        self._highest: Position | None = None
+        self._highest: Position | None = None  # last value of ``_position`` that was not None
         self._reread_at = float("inf")
         self._restored_read_at = float("-inf")
         self._watch_scope = trio.CancelScope()
         self.check_interval_s = _MIN_CHECK_INTERVAL_S
         self._batch_pause_s = _MIN_BATCH_PAUSE_S
-        self.on_key = None
         source.store.history.subscribe(self._begin_history)
 
     def set_nodes(self, nodes: int) -> None:
@@ -161,7 +126,7 @@
         """Watch and check until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._watch_changes)
-            nursery.start_soon(self._check_revisions)
+            nursery.start_soon(self._check_position)
 
     def _begin_history(self) -> None:
         """Read again from the store, which was restored from an older copy."""
@@ -213,13 +178,13 @@
         return self._reread_at != float("inf")
 
     def _count_keys(self) -> int:
-        return len(self._view.servers) + len(self._other_keys)
+        return len(self._view.servers) + len(self.node_keys)
 
     @property
     def _history(self):
         return self._source.store.history
 
-    async def _check_revisions(self) -> None:
+    async def _check_position(self) -> None:
         """Query the store's position at intervals; read all keys again if changes are missing."""
         pause = self.check_interval_s
         while True:
@@ -345,11 +310,10 @@
         for server_id in list(self._view.servers):
             if prefix + server_id not in listed:
                 self._remove(server_id, revision, "not among the keys of the store")
-        for key in self._other_keys - listed:
-            if self._is_reread_pending():
-                self._drop_at.setdefault(key, self._clock() + _REWRITE_TIMEOUT_S)
-            else:
-                self._apply(key, None, revision)
+        if self._is_reread_pending():
+            self.node_keys.await_unlisted(listed, self._clock())
+        else:
+            self.node_keys.drop_unlisted(listed, revision)
 
     def _apply(self, key: str, value: bytes | None, revision: int) -> None:
         source = self._source
@@ -360,16 +324,7 @@
         elif key.startswith(source.servers_prefix):
             self._apply_server(key, value, revision)
         else:
-            self._apply_other(key, value, revision)
-
-    def _apply_other(self, key: str, value: bytes | None, revision: int) -> None:
-        self._drop_at.pop(key, None)
-        if value is None:
-            self._other_keys.discard(key)
-        else:
-            self._other_keys.add(key)
-        if self.on_key is not None:
-            self.on_key(key, value, revision)
+            self.node_keys.apply(key, value, revision)
 
     def _apply_server(self, key: str, value: bytes | None, revision: int) -> None:
         server_id = key.removeprefix(self._source.servers_prefix)
@@ -406,9 +361,7 @@
             self._view.remove_server(
                 server_id, 0, "not registered again after an outage or restore of the store"
             )
-        for key in [k for k, until in self._drop_at.items() if until <= now]:
-            self._log.info("key not written again after a restore of the store", key=key)
-            self._apply_other(key, None, 0)
+        self.node_keys.drop_expired(now)
 
     def _mark_unreachable(self, error: PlatformError) -> None:
         if self._unreachable_since is None:
