Look for the layout lease again at once after a restore

Callers would see: no layout controller for up to 16 s if the store lost the lease and its holder ended at the same time. Cause: candidates wait for the event that the lease key is gone; a restore loses the key without one. Change: a restore ends that wait.

--- a/basilwinch/lease/holder.py
+++ b/basilwinch/lease/holder.py
@@ -158,6 +158,8 @@
         self._fence_base_key = f"{LEASE_KEY_PREFIX}{config.name}/base"
         self._highest_fence = 0
         self._held: HeldLease | None = None
+        self._wait_scope = trio.CancelScope()
+        store.history.subscribe(self._end_wait)
         self._log = structlog.get_logger("lease").bind(lease=config.name, owner=config.owner)
 
     @classmethod
@@ -332,12 +334,17 @@
                     "lease release failed, lease will expire", reason=error.failure.reason
                 )
 
+    def _end_wait(self) -> None:
+        """Look for the lease key again, as a restore may have lost it without an event."""
+        self._wait_scope.cancel()
+
     async def _wait_for_release(self):
         """Wait until the lease key is deleted, for at most 2 to 4 times ``ttl_s``.
 
         A waiting watch makes no calls. A random delay follows unless the key was already deleted.
         """
-        with trio.move_on_after(self._config.ttl_s * self._rng.uniform(2, 4)):
+        wait_s = self._config.ttl_s * self._rng.uniform(2, 4)
+        with trio.move_on_after(wait_s) as self._wait_scope:
             async with self._store.watch(self._key) as events:
                 if await self._store.get(self._key) is None:
                     return
--- a/basilwinch/lease/tests/test_restore.py
+++ b/basilwinch/lease/tests/test_restore.py
@@ -9,6 +9,7 @@
 from basilwinch.lease import LeaseConfig, LeaseHolder
 from basilwinch.standin import MemoryKeyValueStore
 from basilwinch.store import StoreHistory
+from basilwinch.view.shared_watch import SharedWatchStore
 
 TTL_S, MARGIN_S = 4.0, 1.0
 
@@ -28,9 +29,9 @@
 class Fleet:
     """Holders that compete for one lease, with the fencing tokens of each."""
 
-    def __init__(self, nodes: int):
+    def __init__(self, nodes: int, wrap):
         self.store = MemoryKeyValueStore()
-        self.clients = [Client(self.store) for _ in range(nodes)]
+        self.clients = [wrap(Client(self.store)) for _ in range(nodes)]
         config = [LeaseConfig("layout", f"n{n}", TTL_S, MARGIN_S, 0.0) for n in range(nodes)]
         self.holders = [
             LeaseHolder.from_config(config[n], self.clients[n], random.Random(n))
@@ -64,9 +65,9 @@
 def run_fleet():
     """Return a function that runs an async test with holders on a virtual clock."""
 
-    def run(test, nodes=3):
+    def run(test, nodes=3, wrap=lambda client: client):
         async def main():
-            fleet = Fleet(nodes)
+            fleet = Fleet(nodes, wrap)
             async with trio.open_nursery() as nursery:
                 for node, holder in enumerate(fleet.holders):
                     nursery.start_soon(
@@ -145,10 +146,7 @@
         (holder,) = fleet.list_valid()
         late = fleet.clients[holder]
 
-        async def refuse(*_):
-            await trio.sleep_forever()
-
-        late.keep_alive = late.get = late.revoke = refuse
+        late.keep_alive = late.get = late.revoke = _never
         fleet.store.restore((copy[0], pairs, {}))
         for number, client in enumerate(fleet.clients):
             if number != holder:
@@ -157,3 +155,24 @@
         assert fleet.list_valid() not in ([], [holder])
 
     run_fleet(test)
+
+
+def test_lease_that_the_store_lost_with_its_holder_is_soon_held_again(run_fleet):
+    """Guards against candidates that wait for an event which the restored store never sends."""
+
+    async def test(fleet):
+        copy = fleet.store.snapshot()
+        await trio.sleep(7.0)
+        (holder,) = fleet.list_valid()
+        fleet.restore(copy, 2)
+        stopped = fleet.clients[holder]
+        stopped.get = _never
+        await trio.sleep(TTL_S + 3.0)
+        assert fleet.list_valid() not in ([], [holder])
+
+    # Delivers no event, as none is published.
+    run_fleet(test, wrap=SharedWatchStore)
+
+
+async def _never(*_):
+    await trio.sleep_forever()
