Write no layout on a revision of an earlier history

Cause: between two services of one pass the history could change, and the second layout was written on the condition of a revision that had been given out again; only the lease key stood against it. Change: a pass ends for the services that are left, and the next one reads the layouts first. Result: tests of the controller and of restores pass.

--- a/basilwinch/chains/controller.py
+++ b/basilwinch/chains/controller.py
@@ -132,6 +132,8 @@
             layouts[key] = await self._read_layout(key)
         chains, revision = layouts[key]
         servers = [s for s in self._view.by_service.get(service.name, ()) if not s.leaving]
+        if self._store.history.number != self._layout_history:
+            return  # the revision is of an earlier history
         planned = plan_chains(
             servers, service.engine, chains, self._find_recently_lost(servers, chains)
         )
