--- a/bench/control_lease.py
+++ b/bench/control_lease.py
@@ -68,7 +68,7 @@
     def __getattr__(self, name):
         """Return a method of the key-value service that waits while the process is paused."""
         method = getattr(self._store, name)
-        if name == "watch":
+        if name in ("watch", "history"):
             return method
 
         async def call(*arguments):
--- a/bench/soak_processes.py
+++ b/bench/soak_processes.py
@@ -33,6 +33,7 @@
 _DENIALS = (401, 403, 404)  # wrong for each request whose key was never revoked
 _COPY_INTERVAL_S = 0.5  # between copies of the store
 _MAX_COPY_AGE_S = 6.0
+_STORE_FAULT_PERIOD = 3  # with ``restores``, one of so many faults is a restore or dead connections
 _REWRITE_DELAY_RANGE_S = (0.0, 1.0)  # until the operator and the servers write again
 
 
@@ -92,7 +93,7 @@
     def __init__(
         self, seed: int, seconds: float, nodes: int, folder, plant: str = "", restores: bool = False
     ):
-        self.fault_kinds = _FAULTS + _STORE_FAULTS if restores else _FAULTS
+        self.restores = restores
         self.copies: list[tuple[float, tuple]] = []
         self.rng = random.Random(seed)
         self.seconds = seconds
@@ -146,7 +147,8 @@
         async with trio.open_nursery() as faults:
             while trio.current_time() < end:
                 await trio.sleep(self.rng.uniform(*_FAULT_INTERVAL_RANGE_S))
-                fault = self.rng.choice(self.fault_kinds)
+                is_store_fault = self.restores and len(self.faults) % _STORE_FAULT_PERIOD == 0
+                fault = self.rng.choice(_STORE_FAULTS if is_store_fault else _FAULTS)
                 self.faults.append(fault.__name__.strip("_"))
                 faults.start_soon(fault, self, self.rng.choice(self.nodes))
         await trio.sleep(_SETTLING_S)
