Expect a version of a peer again after an impossible one has lapsed

Cause: after a damaged report with a very high version had lapsed, lower versions of peers were ignored for good, so the node took an older view for complete. Change: a version that has lapsed, or that the node has reached, is forgotten before the next one is compared. Result: test_version_that_no_peer_names_any_more_is_not_expected, extended, failed before and passes.

--- a/basilwinch/view/peer_versions.py
+++ b/basilwinch/view/peer_versions.py
@@ -54,11 +54,11 @@
 
         :param own_version: version that this node has in force
         """
+        if self._version <= own_version or self._has_lapsed(now):
+            self._version, self._missing_since = 0, float("inf")
         if version <= own_version or version < self._version:
             return False
         is_new = version > self._version
-        if self._version <= own_version or self._has_lapsed(now):
-            self._missing_since = float("inf")
         self._version, self._heard_at = version, now
         since = self._complete_at if now < self.ask_until else now
         self._missing_since = min(self._missing_since, since)
--- a/basilwinch/view/tests/test_peer_versions.py
+++ b/basilwinch/view/tests/test_peer_versions.py
@@ -71,6 +71,9 @@
     assert view.age(39.0) > 28.0
     view.confirm(41.0)
     assert view.age(41.0) == 0.0
+    view.record_peer_version(7, 42.0)
+    view.confirm(45.0)
+    assert view.age(45.0) == 3.0
 
 
 def test_peer_without_a_configuration_ends_no_wait(view):
