--- a/basilwinch/forward/crashes.py
+++ b/basilwinch/forward/crashes.py
@@ -38,6 +38,10 @@
             _digest_context(context), _digest_parts(context), trio.current_time()
         )
 
+    def identify(self, context: Context) -> str:
+        """Return the digest of a request, the same whenever its caller sends it again."""
+        return _digest_context(context)
+
     def begin(self, context: Context, servers: list[str], trial: bool) -> "SuspectAttempt":
         """Count an attempt that is about to be sent.
 
--- a/basilwinch/forward/stream.py
+++ b/basilwinch/forward/stream.py
@@ -119,6 +119,7 @@
                 attempt_events=self._attempt_events,
                 attempt_ms=round((trio.current_time() - attempt_started) * 1000, 1),
                 parts=context.info.shared_parts,
+                digest=self._components.crash_attribution.identify(context),
             )
             if isinstance(outcome, OutcomeUnknown):
                 self._runs += 1
--- a/basilwinch/suspicion/registry.py
+++ b/basilwinch/suspicion/registry.py
@@ -27,6 +27,7 @@
 # ends with the first events of a stream.
 _TRIAL_WAIT_S = 0.5
 _RECENT_FRAME_S = 1.0  # see min_attempt_age_s
+_MAX_LOGGED_DIGESTS = 32  # in one log line
 
 
 class _RunningAttempt:
@@ -432,6 +433,7 @@
             server=server,
             suspects=len(new_runs),
             strong=len(likely),
+            digests=sorted(on_server[run_id].digest for run_id in likely)[:_MAX_LOGGED_DIGESTS],
         )
 
     def report_stall(self, digest: str, servers, now: float) -> None:
@@ -490,18 +492,21 @@
         server every 0.3 s would pass for a mass loss after the fourth.
         """
         count = 0
-        for evidence in self._evidence.values():
+        digests = set()
+        for digest, evidence in self._evidence.items():
             if evidence.active_strike_span_s() > self._config.same_event_window_s:
                 continue
             for id, (_, at) in evidence.strikes.items():
                 if now - at <= self._config.mass_loss_window_s and id not in evidence.cleared:
                     evidence.cleared.add(id)
+                    digests.add(digest)
                     count += 1
         self._log.record(
             "suspect",
             "mass_loss",
             f"more than {self._config.mass_loss_servers} servers died at once",
             cleared=count,
+            digests=sorted(digests)[:_MAX_LOGGED_DIGESTS],
         )
 
     def _review_parts(self, now: float) -> None:
@@ -543,9 +548,18 @@
     def _clear_explained_strikes(self, part: str, evidence: Evidence) -> None:
         """Clear the strikes that other parts and the requests share with a convicted part."""
         explained = {strike.id for strike in evidence.active_strikes()}
+        digests = []
         for digest, other in self._evidence.items():
-            if digest != part and other.convicted_at is None:
+            if digest != part and other.convicted_at is None and explained & other.strikes.keys():
                 other.cleared.update(explained & other.strikes.keys())
+                digests.append(digest)
+        self._log.record(
+            "suspect",
+            "explained",
+            "strikes shared with a convicted part are cleared",
+            digest=part,
+            digests=sorted(digests)[:_MAX_LOGGED_DIGESTS],
+        )
 
     def _quarantine_failure(self, digest: str, evidence: Evidence, now: float) -> Failure:
         left = evidence.until - now
