Attribute the crash of a head that was found before its connection was reset

Callers saw streams break again and again under a request that nobody refused. Cause: the stall detector probes the members of a silent chain and abandons the chain as soon as one refuses connections. If the head had crashed and the reset of its connection came later than the probe, the attempt ended without a report of the death, so the request got no strike. Requests that crash servers are silent by nature, so they take this way out more often than others. Fix: an attempt that was abandoned because of its head checks and reports the head like one whose connection failed. The attempt is still counted then, so the strike falls on it.

--- a/basilwinch/forward/stream.py
+++ b/basilwinch/forward/stream.py
@@ -289,6 +289,7 @@
             )
             response = await detector.watch(connection.receive_head)
             if isinstance(response, OutcomeUnknown):
+                await self._report_abandoned(head)
                 return response
             outcome = await self._read_response(response, connection, path, detector)
             reusable = outcome is None or isinstance(outcome, (Answered, NotRun))
@@ -330,6 +331,7 @@
         while True:
             data = await detector.watch(connection.receive_data)
             if isinstance(data, OutcomeUnknown):
+                await self._report_abandoned(detector.head)
                 return data
             if data is None:
                 break
@@ -357,6 +359,15 @@
             crash_attribution = self._components.crash_attribution
             await crash_attribution.report_failure(head, self._context.info.id)
 
+    async def _report_abandoned(self, head) -> None:
+        """Report the head of a silent chain that was abandoned, if the head is at fault.
+
+        The stall detector may find that a head refuses connections before the reset of the
+        connection arrives; the crash must be attributed all the same.
+        """
+        if head.id in self._avoid:
+            await self._report_failure(head)
+
     def _select_new_events(self, events):
         """Return the events that the caller has not received.
 
--- a/basilwinch/platform/tests/standin.py
+++ b/basilwinch/platform/tests/standin.py
@@ -46,16 +46,26 @@
         self.state = "ready"
         self.heartbeats = 0
         self._scope = trio.CancelScope()
+        self._listen_scope = trio.CancelScope()
 
     async def serve(self, handle, listeners) -> None:
         """Serve until the server crashes."""
         with self._scope:
-            await trio.serve_listeners(handle, listeners)
+            async with trio.open_nursery() as nursery:
+                with self._listen_scope:
+                    await trio.serve_listeners(handle, listeners, handler_nursery=nursery)
+                for listener in listeners:
+                    await listener.aclose()
+                await trio.sleep_forever()
 
     def crash(self) -> None:
         """End all connections and refuse new ones; the entry in the store stays."""
         self._scope.cancel()
 
+    def refuse_connections(self) -> None:
+        """Refuse new connections; open ones stay."""
+        self._listen_scope.cancel()
+
     @property
     def has_crashed(self) -> bool:
         return self._scope.cancel_called
--- a/basilwinch/platform/tests/test_crashes.py
+++ b/basilwinch/platform/tests/test_crashes.py
@@ -63,3 +63,24 @@
         assert sound == [200] * 6
 
     run_with(test, chains=5)
+
+
+def test_crash_is_attributed_when_the_reset_of_the_connection_is_late(run_with, send):
+    """Guards against a crashing request that goes free because its silent chain was abandoned."""
+
+    async def test(site):
+        async def refuse_while_it_runs(server):
+            await site.wait_until(lambda: not server.faults)
+            server.refuse_connections()
+
+        heads = [server for server in site.platform.servers if server.kind and not server.layers[0]]
+        for server in heads:
+            server.faults = ["mute"]
+            site.nursery.start_soon(refuse_while_it_runs, server)
+        await send(site, 1, b"f1")
+        lost = [server.id for server in heads if not server.faults]
+        evidence = site.node._suspects.list_entries(trio.current_time())
+        struck = {strike.server for entry in evidence for strike in entry.strikes}
+        assert lost and struck == set(lost)
+
+    run_with(test)
