Report the newest strikes of a node before those that others have seen

A report between nodes holds 32 suspects, the most severe ones first. After several crashes each node knows more than that from the others, and the strike that only it had seen, with no earlier one beside it, was not among them: the other nodes let the request pass. Fix: entries with a strong strike of this node that is younger than 1 s come first. Every node reports its own strikes to all others, so entries of others lose nothing.

--- a/basilwinch/suspicion/registry.py
+++ b/basilwinch/suspicion/registry.py
@@ -28,6 +28,8 @@
 _TRIAL_WAIT_S = 0.5
 _RECENT_FRAME_S = 1.0  # see min_attempt_age_s
 _MAX_LOGGED_DIGESTS = 32  # in one log line
+# Strikes of this node are sent first while they are younger; other nodes have no other source.
+_FRESH_STRIKE_S = 1.0
 
 
 class _RunningAttempt:
@@ -110,16 +112,24 @@
         """Return the unexpired entries, ordered by descending severity and time of expiry.
 
         A message holds few entries. Entries of requests that only shared a batch with the cause of
-        a crash must not delay the entry of the cause.
+        a crash must not delay the entry of the cause, nor those that other nodes have seen the
+        entries that only this one knows.
         """
         self._drop_expired(now)
         ordered = sorted(
             self._evidence.items(),
-            key=lambda item: (item[1].severity(), item[1].until),
+            key=lambda item: (self._is_fresh(item[1], now), item[1].severity(), item[1].until),
             reverse=True,
         )
         return [evidence.to_entry(digest, now) for digest, evidence in ordered]
 
+    def _is_fresh(self, evidence: Evidence, now: float) -> bool:
+        """Return whether this node has added a strong strike a short time ago."""
+        return any(
+            strike.strong and now - at < _FRESH_STRIKE_S and strike.node == self._config.node
+            for strike, at in evidence.strikes.values()
+        )
+
     def merge_entries(self, entries: list[SuspectEntry], now: float) -> bool:
         """Merge entries of another node.
 
