Refuse a crashing request after two deaths, and keep its strikes beside other crashes

Cause: more than three deaths within 2 s cleared the strikes of all requests as a mass loss, unless a request already had strikes from two moments. With two or three crashing requests, each sent on to a second chain, that number is reached after a second. A node that had heard of one strike of the second request cleared it, and cleared strikes spread to all nodes. Fix: the entry node takes deaths for a mass loss only if they occur within the time in which nodes notice one event (0.25 s); a request that is sent on crashes its next server later than that. It refuses a request after two deaths instead of three, and clears a request that makes progress, even if it is convicted, as only requests without progress get strikes. Two deaths of one request count as two events from 0.1 s on, as a request runs on one server at a time. The registry's defaults stay as they were for the daemon, which isolates suspects.

--- a/basilwinch/entry/node.py
+++ b/basilwinch/entry/node.py
@@ -42,6 +42,11 @@
 _MAX_PREFILL_S = 10.0  # a request that waits longer for its first event is queued, not running
 _MIN_CRASH_AGE_S = 0.005  # a server that was dead before resets a connection within a round trip
 _SAME_EVENT_S = 0.25  # nodes notice the loss of a rack within this time of each other
+# A resumed request needs a prefill, so it crashes the next server later than this.
+_SAME_REQUEST_EVENT_S = 0.1
+# A stream without an event at two crashes; most of those that were there by chance have written
+# in between.
+_CONVICTION_DEATHS = 2
 _SUSPECT_RESEND_PERIOD_S = 1.0  # four reports, as single datagrams may be lost
 _MAX_SUSPECTS_PER_REPORT = 32  # about 150 bytes each, in a datagram of at most 64 KB
 
@@ -108,6 +113,9 @@
                 max_strong_strikes=_MAX_SUSPECTS_PER_CRASH,
                 strong_max_age_s=_MAX_PREFILL_S,
                 event_s=_SAME_EVENT_S,
+                request_event_s=_SAME_REQUEST_EVENT_S,
+                mass_loss_window_s=_SAME_EVENT_S,
+                conviction_deaths=_CONVICTION_DEATHS,
                 min_attempt_age_s=_MIN_CRASH_AGE_S,
             ),
             DecisionLog(self.metrics.registry),
--- a/basilwinch/suspicion/evidence.py
+++ b/basilwinch/suspicion/evidence.py
@@ -323,15 +323,15 @@
     def _active_times(self) -> list[float]:
         return [at for id, (_, at) in self.strikes.items() if id not in self.cleared]
 
-    def is_convicted(self) -> bool:
+    def is_convicted(self, conviction_deaths: int = 3) -> bool:
         """Return whether the evidence suffices to refuse the request.
 
-        It does after three deaths, or after two of which one was in isolation. A stall may be
-        congestion, so with stalls it takes three strikes, at least one of them in isolation.
+        It does after ``conviction_deaths``, or after two of which one was in isolation. A stall may
+        be congestion, so with stalls it takes three strikes, at least one of them in isolation.
         """
         active = self.active_strikes()
         deaths = self._count_events(s for s in active if s.loss is Loss.DEATH)
-        if deaths >= 3:
+        if deaths >= conviction_deaths:
             return True
         isolated_strikes = [strike for strike in active if strike.isolated]
         if deaths >= 2 and any(strike.loss is Loss.DEATH for strike in isolated_strikes):
--- a/basilwinch/suspicion/registry.py
+++ b/basilwinch/suspicion/registry.py
@@ -282,7 +282,7 @@
         evidence = self._evidence.get(digest)
         if evidence is None or now >= evidence.until:
             return False
-        if evidence.is_convicted():
+        if evidence.is_convicted(self._config.conviction_deaths):
             refuse_at = evidence.convicted_at + config.refusal_delay_s
             if now >= refuse_at:
                 return self._quarantine_failure(digest, evidence, now)
@@ -312,7 +312,9 @@
         Call it after the delay of the claim, in which claims of other nodes arrive.
         """
         evidence = self._get_or_create_evidence(digest, now)
-        if evidence.isolating_node(now) == self._config.node and not evidence.is_convicted():
+        if evidence.isolating_node(now) == self._config.node and not evidence.is_convicted(
+            self._config.conviction_deaths
+        ):
             self._log.record(
                 "suspect", "isolated", "suspect runs without other requests", request=run_id
             )
@@ -350,6 +352,8 @@
         if not had_progress and running.frame_count >= self._config.progress_frames:
             running.isolated = False
             self.release_claim(digest, run_id)
+            if not self._config.weak_strikes:
+                self._clear_request(digest, now)
             for part in running.parts:
                 self._record_progress(part, now)
 
@@ -368,10 +372,29 @@
             self._record_progress(part, now)
         self.clear(digest, now)
 
+    def _clear_request(self, digest: str, now: float) -> None:
+        """Clear a request that made progress on a server, even if it is convicted.
+
+        Only requests without progress get strikes, so one that makes some did not crash the
+        servers that it was lost with.
+        """
+        evidence = self._evidence.get(digest)
+        if evidence is None or not evidence.active_strikes():
+            return
+        evidence.cleared.update(evidence.strikes)
+        self._log.record("suspect", "cleared", "the request progressed", digest=digest)
+        self._update_conviction(digest, evidence, now)
+        self._review_parts(now)
+        self._notify_change()
+
     def clear(self, digest: str, now: float) -> None:
         """Clear the strikes of a request that finished, unless it is convicted."""
         evidence = self._evidence.get(digest)
-        if evidence is None or evidence.is_convicted() or not evidence.active_strikes():
+        if (
+            evidence is None
+            or evidence.is_convicted(self._config.conviction_deaths)
+            or not evidence.active_strikes()
+        ):
             return
         evidence.cleared.update(evidence.strikes)
         self._log.record("suspect", "cleared", "the request finished", digest=digest)
@@ -538,7 +561,7 @@
         if is_part(digest):
             convicted = evidence.is_part_convicted(ambiguous)
         else:
-            convicted = evidence.is_convicted()
+            convicted = evidence.is_convicted(self._config.conviction_deaths)
         if not convicted:
             evidence.convicted_at = None
         elif evidence.convicted_at is None:
@@ -592,9 +615,9 @@
     def _get_or_create_evidence(self, digest: str, now: float) -> Evidence:
         evidence = self._evidence.get(digest)
         if evidence is None or now >= evidence.until:
-            evidence = self._evidence[digest] = Evidence(
-                now + self._config.suspect_ttl_s, self._config.event_s
-            )
+            config = self._config
+            event_s = config.event_s if is_part(digest) else config.request_event_s
+            evidence = self._evidence[digest] = Evidence(now + config.suspect_ttl_s, event_s)
         return evidence
 
     def _drop_expired(self, now: float) -> None:
--- a/basilwinch/suspicion/settings.py
+++ b/basilwinch/suspicion/settings.py
@@ -32,8 +32,11 @@
         loss, which makes no request a suspect; a single request costs at most three servers
     :param mass_loss_window_s: window of ``mass_loss_servers``
     :param same_event_window_s: strikes of a request within this time belong to one event
-    :param event_s: strikes of a suspect within this time count once; nodes notice the loss of
-        several servers at slightly different times
+    :param event_s: strikes of a part within this time count once; nodes notice the loss of several
+        servers at slightly different times
+    :param request_event_s: the same for a request, which runs on one server at a time and may crash
+        the next one sooner than that
+    :param conviction_deaths: deaths after which a request is refused
     :param max_suspects: maximum number of suspects kept; those that expire first are dropped
     :param progress_frames: after this many frames a request is no longer a likely cause of a crash:
         crashes occur during the prefill or just after it, when the request enters the batch
@@ -65,6 +68,8 @@
         "mass_loss_window_s",
         "same_event_window_s",
         "event_s",
+        "request_event_s",
+        "conviction_deaths",
         "max_suspects",
         "progress_frames",
         "weak_strikes",
@@ -89,6 +94,8 @@
         "mass_loss_window_s": 2.0,
         "same_event_window_s": 0.15,
         "event_s": 0.0,
+        "request_event_s": 0.0,
+        "conviction_deaths": 3,
         "max_suspects": 2000,
         "progress_frames": 8,
         "weak_strikes": True,
--- a/basilwinch/suspicion/tests/conftest.py
+++ b/basilwinch/suspicion/tests/conftest.py
@@ -16,6 +16,9 @@
             progress_frames=2,
             weak_strikes=False,
             event_s=0.25,
+            request_event_s=0.1,
+            mass_loss_window_s=0.25,
+            conviction_deaths=2,
             **changes,
         )
         return SuspectRegistry(config, DecisionLog.for_benchmark())
