Convict a part only by different requests, and not for what a convicted request explains

Cause: a request that crashes three servers gives its part of the prompt the same three strikes, and the part was convicted for it; the conviction then cleared the strikes of other requests with that part, so that a second crashing request began from nothing. Parts of bystanders were convicted by the crashes of others in the same way. Fix: a strike speaks against a part only if no convicted request was lost with the same server at that moment, and a part is convicted only by different requests. This is worked out from the strikes each time, not stored, so it is the same on all nodes whatever the order in which strikes arrive. A convicted part clears other parts, but no requests. A request that was lost itself leaves the trial of its part to others, as it cannot tell itself from its part.

--- a/basilwinch/suspicion/evidence.py
+++ b/basilwinch/suspicion/evidence.py
@@ -237,6 +237,7 @@
         "tests",
         "convicted_at",
         "vouched",
+        "sources",
     )
 
     def __init__(self, until: float, event_s: float = 0.0):
@@ -251,6 +252,8 @@
         self.vouched = False
         #: Time until which a conviction in the store applies.
         self.stored_until = -math.inf
+        #: For a part, the request of each strike that speaks against the part, by id of the strike.
+        self.sources: dict[str, str] = {}
 
     def active_strike_span_s(self) -> float:
         """Return the seconds between the first and the last active strike."""
@@ -281,36 +284,53 @@
         return len(active) >= 2 or any(s.strong for s in active) or bool(active and resent)
 
     def open_strikes(self) -> list[tuple[Strike, float]]:
-        """Return the active strikes against an unknown part, with their times.
+        """Return the attributed strikes against an unknown part, with their times.
 
         There are none once a node vouches for the part.
         """
         if self.vouched:
             return []
         return [
-            (strike, at)
-            for id, (strike, at) in self.strikes.items()
-            if id not in self.cleared and strike.unknown
+            (strike, self.strikes[strike.id][1])
+            for strike in self.attributed_strikes()
+            if strike.unknown
         ]
 
+    def attributed_strikes(self) -> list[Strike]:
+        """Return the active strikes against a part that no convicted request explains."""
+        return [strike for strike in self.active_strikes() if strike.id in self.sources]
+
     def is_part_convicted(self, ambiguous: bool) -> bool:
         """Return whether the evidence suffices to refuse all requests with the part.
 
+        Counted are only events with different requests, as one request that crashes several servers
+        explains that by itself; see :func:`~basilwinch.suspicion.part.attribute_strikes`.
+
         Requests that make progress clear the strikes of their parts, so a harmless part that is in
         use keeps none for long. It takes three events, or two if the part was unknown or on trial.
 
         :param ambiguous: whether another part explains the same events as well
         """
-        events = self._count_events(self.active_strikes())
+        active = self.attributed_strikes()
+        events = self._count_independent_events(active)
         if ambiguous:
             return events >= _AMBIGUOUS_EVENTS
-        tried = any(strike.isolated for strike in self.active_strikes())
+        tried = any(strike.isolated for strike in active)
         open_strikes = [strike for strike, _ in self.open_strikes()]
-        return events >= 3 or (tried and events >= 2) or self._count_events(open_strikes) >= 2
+        return (
+            events >= 3
+            or (tried and events >= 2)
+            or self._count_independent_events(open_strikes) >= 2
+        )
+
+    def _count_independent_events(self, strikes) -> int:
+        """Return the number of events, at most the number of requests that were lost in them."""
+        requests = {self.sources[strike.id] for strike in strikes}
+        return min(len(requests), self._count_events(strikes))
 
     def lost_servers(self) -> set[str]:
-        """Return the servers of the active strikes."""
-        return {strike.server for strike in self.active_strikes()}
+        """Return the servers of the attributed strikes."""
+        return {strike.server for strike in self.attributed_strikes()}
 
     def _count_events(self, strikes) -> int:
         """Return the number of events at which strikes occurred."""
--- a/basilwinch/suspicion/part.py
+++ b/basilwinch/suspicion/part.py
@@ -2,7 +2,7 @@
 
 from basilwinch.suspicion.evidence import Evidence, is_part
 
-__all__ = ["KnownParts", "is_ambiguous", "list_lost_parts"]
+__all__ = ["KnownParts", "attribute_strikes", "is_ambiguous", "list_lost_parts"]
 
 
 class KnownParts:
@@ -42,6 +42,33 @@
         return at if at is not None and now - at <= self._retention_s else None
 
 
+def attribute_strikes(suspects: dict[str, Evidence], event_s: float) -> None:
+    """Record for each part which request stands behind each strike that speaks against the part.
+
+    A strike does not if a convicted request was lost with the same server at the same time, as that
+    request explains the loss. Linear in the strikes.
+
+    :param suspects: evidence against all suspects, by digest
+    :param event_s: strikes within this time belong to one loss, in seconds
+    """
+    requests: dict[str, str] = {}
+    explained: dict[str, list[float]] = {}
+    for digest, evidence in suspects.items():
+        if is_part(digest):
+            continue
+        for id, (strike, at) in evidence.strikes.items():
+            requests[id] = digest
+            if evidence.convicted_at is not None and id not in evidence.cleared:
+                explained.setdefault(strike.server, []).append(at)
+    for digest, evidence in suspects.items():
+        if is_part(digest):
+            evidence.sources = {
+                id: requests.get(id, id)
+                for id, (strike, at) in evidence.strikes.items()
+                if not any(abs(at - other) <= event_s for other in explained.get(strike.server, ()))
+            }
+
+
 def is_ambiguous(part: str, struck: dict[str, Evidence]) -> bool:
     """Return whether another part that is not convicted explains the same events as well.
 
--- a/basilwinch/suspicion/registry.py
+++ b/basilwinch/suspicion/registry.py
@@ -16,7 +16,12 @@
     unpack,
 )
 from basilwinch.suspicion.isolation import IsolationClaim, IsolationWait, NextAttempt
-from basilwinch.suspicion.part import KnownParts, is_ambiguous, list_lost_parts
+from basilwinch.suspicion.part import (
+    KnownParts,
+    attribute_strikes,
+    is_ambiguous,
+    list_lost_parts,
+)
 from basilwinch.suspicion.settings import SuspectConfig
 
 __all__ = ["SuspectRegistry"]
@@ -28,6 +33,8 @@
 _TRIAL_WAIT_S = 0.5
 _RECENT_FRAME_S = 1.0  # see min_attempt_age_s
 _MAX_LOGGED_DIGESTS = 32  # in one log line
+# The longest hold of another node is up to twice the configured one, by the hash of its name.
+_MAX_HOLDS = 2
 # Strikes of this node are sent first while they are younger; other nodes have no other source.
 _FRESH_STRIKE_S = 1.0
 
@@ -210,7 +217,7 @@
                 continue
             if not evidence.open_strikes():
                 continue
-            wait_s = self._find_hold_end(evidence, parts) - now
+            wait_s = self._find_hold_end(evidence, parts, digest) - now
             if wait_s > 0 or part in self._trials:
                 wait_s = max(wait_s, _TRIAL_WAIT_S)
                 return self._refuse(part, wait_s, "may have crashed a server")
@@ -222,14 +229,19 @@
             return True
         return evidence.convicted_at is not None and now < evidence.until
 
-    def _find_hold_end(self, evidence: Evidence, parts) -> float:
-        """Return the time at which this node may try a suspected part.
+    def _find_hold_end(self, evidence: Evidence, parts, digest: str) -> float:
+        """Return the time at which this node may try a suspected part with a request.
 
         A request that lacks an unknown part of each request that was lost with this one tells the
-        parts apart, and is less likely to crash its server, so it need not wait as long.
+        parts apart, and is less likely to crash its server, so it need not wait as long. One that
+        was lost itself cannot tell whether it or its part was the cause, and leaves the trial to
+        others.
         """
         config = self._config
         strike, at = max(evidence.open_strikes(), key=lambda item: item[1])
+        request = self._evidence.get(digest)
+        if request is not None and request.active_strikes():
+            return at + _MAX_HOLDS * config.part_hold_elsewhere_s
         own = strike.node == config.node
         if any(lost <= set(parts) for lost in list_lost_parts(evidence, self._evidence)):
             return at + (config.part_hold_s if own else self._hold_elsewhere_s)
@@ -547,6 +559,7 @@
 
         Quadratic in the parts with active strikes, which are few except after a crash.
         """
+        attribute_strikes(self._evidence, self._config.event_s)
         struck = {
             digest: evidence
             for digest, evidence in self._evidence.items()
@@ -579,11 +592,17 @@
                 self._clear_explained_strikes(digest, evidence)
 
     def _clear_explained_strikes(self, part: str, evidence: Evidence) -> None:
-        """Clear the strikes that other parts and the requests share with a convicted part."""
+        """Clear the strikes that other parts share with a convicted part.
+
+        Requests keep theirs: those that share a strike have the part and are refused with it, and
+        one of them may be the cause if the conviction is wrong.
+        """
         explained = {strike.id for strike in evidence.active_strikes()}
         digests = []
         for digest, other in self._evidence.items():
-            if digest != part and other.convicted_at is None and explained & other.strikes.keys():
+            if digest == part or not is_part(digest) or other.convicted_at is not None:
+                continue
+            if explained & other.strikes.keys():
                 other.cleared.update(explained & other.strikes.keys())
                 digests.append(digest)
         self._log.record(
