Reach servers through another node while the own links to all servers are lost

Cause: a node knew only of single servers that failed. Nothing told it that its links were at fault, and it had no other way to a server. Class of fault: a node takes its own fault for the fault of all others. All above a connection is as before: key, configuration, deadline, attempts, budget, limits and attribution are decided and counted at the caller's node. While its links are in doubt a node reports no server as avoided and accuses no request; one that reaches no server and no node refuses at once and leaves the rotation.

--- a/basilwinch/chains/load.py
+++ b/basilwinch/chains/load.py
@@ -51,13 +51,20 @@
 
     :param shares: :class:`RequestLoad` by server hash, see :func:`hash_server_id`
     :param avoided: remaining seconds for which the node avoids a server, by server hash
+    :param disconnected: whether the node has lost its links to all servers
     """
 
-    __slots__ = ("shares", "avoided")
+    __slots__ = ("shares", "avoided", "disconnected")
 
-    def __init__(self, shares: dict[int, RequestLoad], avoided: dict[int, float]):
+    def __init__(
+        self,
+        shares: dict[int, RequestLoad],
+        avoided: dict[int, float],
+        disconnected: bool = False,
+    ):
         self.shares = shares
         self.avoided = avoided
+        self.disconnected = disconnected
 
 
 class FleetLoad:
@@ -68,6 +75,7 @@
     without arguments when this node begins to avoid a server.
 
     :param clock: function that returns the time in seconds
+    :param links: :class:`~basilwinch.tunnel.reachability.Reachability` of this node, or None
     """
 
     __slots__ = (
@@ -80,11 +88,13 @@
         "_suspects",
         "_remote_avoided_until",
         "on_suspect",
+        "_links",
         "_log",
     )
 
-    def __init__(self, clock):
+    def __init__(self, clock, links=None):
         self._clock = clock
+        self._links = links
         self.own: dict[str, RequestLoad] = {}
         self.report_interval_s = _INITIAL_REPORT_INTERVAL_S
         # By node: time at which its report was received, and load by server hash.
@@ -115,6 +125,8 @@
     def build_report(self, servers: int) -> NodeReport:
         """Return the report of this node.
 
+        It names no server as avoided while the links of this node may be at fault.
+
         :param servers: number of registered servers
         """
         shares = {hash_server_id(s): load for s, load in self.own.items() if load.requests}
@@ -125,15 +137,22 @@
             for server_hash, remaining_s in remaining.items()
             if remaining_s > 0
         }
-        return NodeReport(
-            shares, avoided if len(avoided) <= _MAX_REPORTED_FRACTION * servers else {}
-        )
+        in_doubt = self._links is not None and self._links.is_in_doubt()
+        if in_doubt or len(avoided) > _MAX_REPORTED_FRACTION * servers:
+            avoided = {}
+        return NodeReport(shares, avoided, self._links is not None and self._links.is_disconnected)
 
     def apply_report(self, node: str, report: NodeReport) -> None:
-        """Replace the load that another node reported, and record which servers it avoids."""
+        """Replace the load that another node reported, and the servers that it avoids.
+
+        A node that finds its own links at fault takes back what it reported before.
+        """
         now = self._clock()
         self._remote[node] = (now, report.shares)
         self._remote_total_at = float("-inf")
+        for server_hash, until_by_node in self._remote_avoided_until.items():
+            if server_hash not in report.avoided:
+                until_by_node.pop(node, None)
         for server_hash, remaining_s in report.avoided.items():
             until_by_node = self._remote_avoided_until.setdefault(server_hash, {})
             before = _count_avoiding_nodes(until_by_node, now)
@@ -191,6 +210,10 @@
         if self.on_suspect is not None:
             self.on_suspect()
 
+    def forget_suspects(self) -> None:
+        """Avoid no server any more, as the links of this node were at fault."""
+        self._suspects.clear()
+
     def is_suspect(self, server_id: str) -> bool:
         """Return whether a server is avoided, after failures seen here or reported by others."""
         now = self._clock()
@@ -223,5 +246,5 @@
         self._remote_avoided_until = {
             server_hash: until_by_node
             for server_hash, until_by_node in self._remote_avoided_until.items()
-            if max(until_by_node.values()) > now
+            if max(until_by_node.values(), default=now) > now
         }
--- a/basilwinch/chains/tests/test_load.py
+++ b/basilwinch/chains/tests/test_load.py
@@ -5,6 +5,7 @@
 from basilwinch.chains import ChainMember, FleetLoad
 from basilwinch.chains.load import NodeReport, RequestLoad, hash_server_id
 from basilwinch.peers.codec import decode_report, encode_report
+from basilwinch.tunnel import Reachability
 
 
 class Clock:
@@ -130,3 +131,32 @@
     for number in range(30):
         load.add([ChainMember(f"i-{number:010x}", 0, 9)], 1000)
     assert len(encode_report("edge-cluj-manastur-18", 1, load.build_report(90))) < 500
+
+
+def test_node_whose_links_may_be_at_fault_reports_no_server_as_avoided(clock):
+    """Guards against sound servers that all nodes avoid because one zone lost its links."""
+    links = Reachability()
+    load = FleetLoad(clock, links)
+    load.suspect("s1", "test")
+    links.record_failure(clock.now)
+    assert load.build_report(10).avoided == {}
+    links.record_answer(clock.now + 0.01, clock.now + 0.02)
+    assert hash_server_id("s1") in load.build_report(10).avoided
+
+
+def test_node_takes_back_that_it_avoids_a_server(load):
+    """Guards against servers that stay avoided after their accusers found themselves at fault."""
+    for node in ("n2", "n3"):
+        load.apply_report(node, NodeReport({}, {hash_server_id("s1"): 4.0}))
+    assert load.is_suspect("s1")
+    load.apply_report("n2", NodeReport({}, {}, disconnected=True))
+    assert not load.is_suspect("s1")
+
+
+def test_loss_of_links_is_reported(clock):
+    """Guards against tunnels through a node that has lost its links, too."""
+    links = Reachability()
+    links.is_disconnected = True
+    data = encode_report("n1", 1, FleetLoad(clock, links).build_report(10))
+    assert decode_report(data)[2].disconnected
+    assert not decode_report(encode_report("n1", 1, NodeReport({}, {})))[2].disconnected
--- a/basilwinch/entry/node.py
+++ b/basilwinch/entry/node.py
@@ -28,6 +28,13 @@
 from basilwinch.peers.convictions import CONVICTIONS_PREFIX, ConvictionRecords
 from basilwinch.peers.exchange import NODES_PREFIX, PeerExchange
 from basilwinch.suspicion import SuspectConfig, SuspectExchange, SuspectRegistry
+from basilwinch.tunnel import (
+    Carriers,
+    Reachability,
+    ReachabilityMonitor,
+    ServerConnector,
+    TunnelListener,
+)
 from basilwinch.view import CallerLimits, View, read_boot_clock
 from basilwinch.view.shared_watch import SharedWatchStore
 from basilwinch.view.source import ViewSource
@@ -100,9 +107,28 @@
         self._connections: set[CallerConnection] = set()
         self.view = View()
         self.metrics = Metrics()
-        self.load = FleetLoad(clock)
+        self._links = Reachability()
+        self.load = FleetLoad(clock, self._links)
+        self._carriers = Carriers(settings.zone, rng)
+        self._connector = ServerConnector(
+            self._links, self._carriers, self.view, settings.ip, settings.peer_port, clock, rng
+        )
+        self._monitor = ReachabilityMonitor(
+            self._links,
+            self._connector,
+            self.view,
+            dialect.build_report_request,
+            rng,
+            clock,
+            self._handle_links_changed,
+        )
+        self._tunnels = TunnelListener(self._links, self._carriers, self.view, clock)
         self._pool = ConnectionPool(
-            clock, _CONNECT_TIMEOUT_S, _IDLE_TIMEOUT_S, _MAX_IDLE_CONNECTIONS
+            clock,
+            _CONNECT_TIMEOUT_S,
+            _IDLE_TIMEOUT_S,
+            _MAX_IDLE_CONNECTIONS,
+            self._connector.open,
         )
         self._store = SharedWatchStore(store)
         self._suspects = SuspectRegistry(
@@ -131,6 +157,8 @@
             self._server_limits,
             self.view,
             rng,
+            settings.zone,
+            self._carriers,
         )
         self.view.set_peers(self._peers.count_peers, self._peers.request_full_report)
         self._convictions = ConvictionRecords(self._suspects, self._store, rng)
@@ -144,11 +172,13 @@
         )
         path_finder = PathFinder(self.load)
         self._server_selection = selection
-        self._member_probe = MemberProbe(clock)
+        self._member_probe = MemberProbe(clock, self._connector.open)
         self._server_reports = ServerReports(self._pool, dialect, clock)
         self._chain_selection = ChainSelection(self.load, rng)
         self.metrics.set_limited_servers(self._server_limits.count_limited)
-        self._crash_attribution = CrashAttribution(self._suspects, MemberProbe(clock))
+        self._crash_attribution = CrashAttribution(
+            self._suspects, MemberProbe(clock, self._connector.open), self._monitor
+        )
         components = Components(
             self.view,
             self._pool,
@@ -163,6 +193,7 @@
             self._server_reports,
             self._crash_attribution,
             self._server_limits,
+            self._connector,
         )
         self._forwarder = Forwarder(
             components,
@@ -193,6 +224,8 @@
             nursery.start_soon(self._store_watcher.run)
             nursery.start_soon(self._peers.run)
             nursery.start_soon(self._convictions.run)
+            nursery.start_soon(self._monitor.run)
+            nursery.start_soon(self._listen_tunnels)
             nursery.start_soon(self._run_maintenance)
             nursery.start_soon(self._lease.run, self._layout_controller.run)
             nursery.start_soon(self._listen_front, nursery)
@@ -216,14 +249,23 @@
         start = trio.current_time()
         end = start + self._settings.bounds.grace_s - _KILL_MARGIN_S
         self._log.info("drain started", connections=len(self._connections))
+        self._tunnels.stop()
         for connection in list(self._connections):
             connection.close_when_idle()
         await trio.sleep_until(start + _ACCEPT_AFTER_STOP_S)
         self._rejecting = True
         self._front_scope.cancel()
-        while self._connections and trio.current_time() < end:
+        while self._is_busy() and trio.current_time() < end:
             await trio.sleep(_DRAIN_POLL_S)
-        self._log.info("drain finished", connections=len(self._connections))
+        self._log.info(
+            "drain finished",
+            connections=len(self._connections),
+            tunnels=self._tunnels.count_tunnels(),
+        )
+
+    def _is_busy(self) -> bool:
+        """Return whether callers of this node, or of nodes that it carries, wait for responses."""
+        return bool(self._connections) or not self._tunnels.is_quiet()
 
     async def _listen(self, address, handle) -> None:
         """Serve the readiness check or the metrics."""
@@ -234,6 +276,18 @@
 
         await trio.serve_listeners(serve, listeners)
 
+    async def _listen_tunnels(self) -> None:
+        listeners = await trio.open_tcp_listeners(
+            self._settings.peer_port, host=self._settings.ip, backlog=_LISTEN_BACKLOG
+        )
+        await trio.serve_listeners(self._tunnels.serve, listeners)
+
+    def _handle_links_changed(self) -> None:
+        """Give up what this node has learned and opened on links that are lost, or back."""
+        self._pool.close_all_idle()
+        self.load.forget_suspects()
+        self._peers.request_full_report()
+
     async def _listen_front(self, nursery) -> None:
         """Serve callers; when the node stops, their connections outlive the listener."""
         listeners = await self._open_listeners(self._settings.front)
@@ -274,7 +328,7 @@
         await exchange.respond(200, header, self.metrics.render())
 
     def _is_ready(self) -> bool:
-        if self._stopping or self.view.configuration is None:
+        if self._stopping or self.view.configuration is None or self._connector.is_isolated():
             return False
         return (
             self.view.age(read_boot_clock())
--- a/basilwinch/entry/settings.py
+++ b/basilwinch/entry/settings.py
@@ -46,7 +46,7 @@
     :param front: address for callers
     :param ready: address of the readiness check
     :param metrics: address of the metrics
-    :param peer_port: UDP port of load reports, the same on all nodes
+    :param peer_port: UDP port of load reports and TCP port of tunnels, the same on all nodes
     :param store: settings of the key-value store
     :param bounds: :class:`Bounds`
     """
--- a/basilwinch/exception.py
+++ b/basilwinch/exception.py
@@ -183,6 +183,9 @@
 SERVER_UNREACHABLE = FailureKind(
     "server_unreachable", 502, "No connection; the call was certainly not sent.", True
 )
+TUNNEL_UNAVAILABLE = FailureKind(
+    "tunnel_unavailable", 503, "The node has lost its servers, and no other node carries.", True
+)
 NO_SERVER = FailureKind("no_server", 503, "No server of the service can take the request.", True)
 NO_CONFIGURATION = FailureKind("no_configuration", 503, "No configuration has been read yet.", True)
 HISTORY_FORKED = FailureKind(
--- a/basilwinch/forward/components.py
+++ b/basilwinch/forward/components.py
@@ -29,6 +29,7 @@
     :param server_reports: :class:`~basilwinch.forward.reports.ServerReports`
     :param crash_attribution: :class:`~basilwinch.forward.crashes.CrashAttribution`
     :param server_limits: :class:`~basilwinch.chains.server_limits.ServerLimits`
+    :param connector: :class:`~basilwinch.tunnel.ServerConnector`
     """
 
     __slots__ = (
@@ -45,6 +46,7 @@
         "server_reports",
         "crash_attribution",
         "server_limits",
+        "connector",
         "capacity_released",
     )
 
@@ -63,6 +65,7 @@
         server_reports,
         crash_attribution,
         server_limits,
+        connector,
     ):
         self.view = view
         self.pool = pool
@@ -77,6 +80,7 @@
         self.server_reports = server_reports
         self.crash_attribution = crash_attribution
         self.server_limits = server_limits
+        self.connector = connector
         self.capacity_released = trio.Event()
 
     def choose_server(self, context: Context, tried):
--- a/basilwinch/forward/crashes.py
+++ b/basilwinch/forward/crashes.py
@@ -22,13 +22,15 @@
     :param suspects: :class:`~basilwinch.suspicion.SuspectRegistry`
     :param probe: :class:`~basilwinch.forward.members.MemberProbe` of its own: a result from before
         the failure would show a crashed server as running
+    :param monitor: :class:`~basilwinch.tunnel.monitor.ReachabilityMonitor`
     """
 
-    __slots__ = ("_suspects", "_probe", "_run_numbers", "_log")
+    __slots__ = ("_suspects", "_probe", "_monitor", "_run_numbers", "_log")
 
-    def __init__(self, suspects: SuspectRegistry, probe):
+    def __init__(self, suspects: SuspectRegistry, probe, monitor):
         self._suspects = suspects
         self._probe = probe
+        self._monitor = monitor
         self._run_numbers = itertools.count(1)
         self._log = structlog.get_logger("crashes")
 
@@ -65,12 +67,17 @@
     async def report_failure(self, server, request_id: bytes) -> None:
         """Report the death of a server whose connection failed, if it refuses new ones.
 
-        Call it before the attempt on the server ends.
+        Call it before the attempt on the server ends. A node that reaches no other server reports
+        nothing, as its links may be at fault.
 
         :param server: entry of the server
         :param request_id: id of the request, for the log
         """
+        failed_at = trio.current_time()
         dead = await self._probe.find_dead([server])
+        if dead is not None and not await self._monitor.can_blame(failed_at):
+            self._log.info("no server reached after a failure", server=server.id)
+            return
         self._log.info(
             "server checked after a failure",
             server=server.id,
--- a/basilwinch/forward/forwarder.py
+++ b/basilwinch/forward/forwarder.py
@@ -59,6 +59,11 @@
             await self._reject(exchange, info, context)
             self._record_rejection(exchange, info, context)
             return
+        obstacle = self._components.connector.find_obstacle()
+        if obstacle is not None:
+            await self._reject(exchange, info, obstacle)
+            self._record_rejection(exchange, info, obstacle)
+            return
         self._components.retry_budget.count_request(context.service.name)
         result: object = None
         try:
--- a/basilwinch/forward/members.py
+++ b/basilwinch/forward/members.py
@@ -3,7 +3,7 @@
 import structlog
 import trio
 
-from basilwinch.exception import ServerError
+from basilwinch.exception import TUNNEL_UNAVAILABLE, ServerError
 from basilwinch.forward.coalescing_cache import CoalescingCache
 from basilwinch.wire import connect
 
@@ -53,12 +53,17 @@
         return dead[0] if dead else None
 
     async def _try(self, server) -> str | None:
-        """Return why a server refuses a connection, or None if it connects or times out."""
+        """Return why a server refuses a connection, or None if it connects or times out.
+
+        A tunnel that no node carries says nothing about the server.
+        """
         start = self._clock()
         try:
             (await self._open(server.host, server.port, _CONNECT_TIMEOUT_S)).close()
             return None
         except ServerError as error:
+            if error.failure.kind is TUNNEL_UNAVAILABLE:
+                return None
             reason = error.failure.reason
         if self._clock() - start >= _CONNECT_TIMEOUT_S:
             return None
--- a/basilwinch/forward/stream.py
+++ b/basilwinch/forward/stream.py
@@ -12,6 +12,7 @@
     OUTCOME_UNKNOWN,
     QUEUE_FULL,
     STREAM_LOST,
+    TUNNEL_UNAVAILABLE,
     Failure,
     ServerError,
 )
@@ -266,7 +267,9 @@
         try:
             connection = await components.pool.acquire(head.address)
         except ServerError as error:
-            components.load.suspect(head.id, error.failure.reason)
+            self._avoid.add(head.id)
+            if error.failure.kind is not TUNNEL_UNAVAILABLE:
+                components.load.suspect(head.id, error.failure.reason)
             return NotRun(error.failure.reason)
         reusable = False
         try:
--- a/basilwinch/peers/codec.py
+++ b/basilwinch/peers/codec.py
@@ -52,6 +52,7 @@
         suspects=suspects,
         version=min(_MAX_UINT64, max(0, version)),
         asking=asking,
+        disconnected=report.disconnected,
     )
     rows = message.init("shares", len(report.shares))
     for row, (server_hash, share) in zip(rows, report.shares.items(), strict=True):
@@ -98,7 +99,7 @@
             raise ValueError(f"report has a list of {len(rows)} rows, at most {_MAX_ROWS} allowed")
     shares = {row.server: RequestLoad(row.requests, row.tokenLayers) for row in message.shares}
     avoided = {row.server: row.forMs / 1000 for row in message.avoided}
-    report = NodeReport(shares, avoided)
+    report = NodeReport(shares, avoided, message.disconnected)
     usage = _decode_usage(message) if message.usageMs else None
     return (
         message.node,
--- a/basilwinch/peers/exchange.py
+++ b/basilwinch/peers/exchange.py
@@ -42,17 +42,21 @@
     :param server_limits: :class:`~basilwinch.chains.server_limits.ServerLimits`
     :param view: :class:`~basilwinch.view.View`, whose version is exchanged too
     :param rng: random number generator for the jitter of renewals
+    :param zone: availability zone of this node
+    :param carriers: :class:`~basilwinch.tunnel.Carriers`, which is told of the other nodes
     """
 
     __slots__ = (
         "_name",
         "_ip",
+        "_zone",
         "_port",
         "_store",
         "_load",
         "_suspects",
         "_server_limits",
         "_view",
+        "_carriers",
         "_must_send",
         "_peers",
         "_sequence",
@@ -63,7 +67,9 @@
         "_rng",
     )
 
-    def __init__(self, name, ip, port, store, load, suspects, server_limits, view, rng):
+    def __init__(
+        self, name, ip, port, store, load, suspects, server_limits, view, rng, zone, carriers
+    ):
         self._name = name
         self._ip = ip
         self._port = port
@@ -72,6 +78,8 @@
         self._suspects = suspects
         self._server_limits = server_limits
         self._view = view
+        self._zone = zone
+        self._carriers = carriers
         self._must_send = False
         self._rng = rng
         self._sequence = 0
@@ -103,13 +111,17 @@
             return
         if value is None:
             self._peers.pop(name, None)
+            self._carriers.remove(name)
             self._server_limits.forget_node(name)
             return
         try:
             if name not in self._peers:
                 self.request_full_report()
-            self._peers[name] = json.loads(value)["ip"]
-        except (ValueError, KeyError, TypeError) as error:
+            registration = json.loads(value)
+            self._peers[name] = registration["ip"]
+            # Nodes of older versions name no zone.
+            self._carriers.add(name, registration["ip"], registration.get("zone", ""))
+        except (ValueError, KeyError, TypeError, AttributeError) as error:
             self._log.warning("node registration malformed", node=name, error=repr(error))
 
     async def run(self) -> None:
@@ -146,7 +158,7 @@
 
     @property
     def _registration(self) -> bytes:
-        return json.dumps({"ip": self._ip}).encode()
+        return json.dumps({"ip": self._ip, "zone": self._zone}).encode()
 
     async def _find_lease(self) -> int | None:
         """Return the lease of this node's registration in the store, None if it must register."""
@@ -182,7 +194,9 @@
             self._server_limits.set_nodes(self.node_count, self._load.report_interval_s)
             report, suspects = self._build_report()
             usage = self._server_limits.build_report()
-            is_empty = not (report.shares or report.avoided or suspects or usage[1])
+            is_empty = not (
+                report.shares or report.avoided or report.disconnected or suspects or usage[1]
+            )
             if not is_empty or not last_was_empty or self._must_send:
                 self._must_send = False
                 await self._send_report(sock, peers, report, suspects, usage)
@@ -251,6 +265,7 @@
             if is_asking or 0 < version < self._view.version:
                 await self._answer(sock, node, address[0])
             self._load.apply_report(node, report)
+            self._carriers.set_disconnected(node, report.disconnected, trio.current_time())
             if usage is not None and node in self._peers:
                 self._server_limits.apply_report(node, *usage)
             if suspects:
--- a/basilwinch/peers/schema.capnp
+++ b/basilwinch/peers/schema.capnp
@@ -15,6 +15,8 @@
   version @7 :UInt64;
   # Whether the sender waits for the versions of others.
   asking @8 :Bool;
+  # Whether the sender has lost its links to all servers.
+  disconnected @9 :Bool;
 
   struct Share {
     server @0 :UInt32;
--- a/basilwinch/platform/tests/conftest.py
+++ b/basilwinch/platform/tests/conftest.py
@@ -24,7 +24,7 @@
     return make_configuration() | {"tenants": [{"name": "org", "api-keys": [KEY]}]}
 
 
-def _free_port() -> int:
+def find_free_port() -> int:
     with socket.socket() as sock:
         sock.bind(("127.0.0.1", 0))
         return sock.getsockname()[1]
@@ -41,7 +41,8 @@
 
     async def call(self, method, path, request_id, body=b"", key=KEY, headers=(), deadline_ms=1500):
         """Send a request; return status, header and body."""
-        connection = await connect("127.0.0.1", self.settings.front.port, 1.0)
+        front = self.settings.front
+        connection = await connect(front.host, front.port, 1.0)
         try:
             header = [
                 (b"Host", b"h.example"),
@@ -66,7 +67,7 @@
 
     async def read_readiness(self) -> int:
         """Return the HTTP status of the readiness endpoint."""
-        connection = await connect("127.0.0.1", self.settings.ready.port, 1.0)
+        connection = await connect(self.settings.ready.host, self.settings.ready.port, 1.0)
         try:
             await connection.send(b"GET", b"/-/readyz", [], b"")
             return (await connection.receive_head()).status_code
@@ -74,6 +75,26 @@
             connection.close()
 
 
+def start_node(platform, nursery, name, host, peer_port, zone="z0"):
+    """Start a node; return it with its settings and a scope that ends it."""
+    address = [Address(host, find_free_port()) for _ in range(3)]
+    bounds = Bounds(4.0, 5.0, True, 0.2, 10.0, 100, 2.0)
+    settings = EntrySettings(name, zone, host, *address, peer_port, None, bounds)
+    store = MetadataStore("127.0.0.1", platform.port)
+    source = ViewSource(
+        store, CONFIGURATION_KEY, SERVERS_PREFIX, decode_configuration, decode_server
+    )
+    node = EntryNode.from_config(settings, store, source, Dialect(), seed=1)
+    scope = trio.CancelScope()
+
+    async def run():
+        with scope:
+            await node.run()
+
+    nursery.start_soon(run)
+    return node, settings, scope
+
+
 @contextlib.asynccontextmanager
 async def run_site(configuration, plain=2, chains=2):
     """Run a node with plain servers and with chains of two members each."""
@@ -84,15 +105,7 @@
             await platform.add_server(nursery, f"p{number}", "plain")
         for number in range(chains * 2):
             await platform.add_server(nursery, f"c{number}", "llm", "card")
-        address = [Address("127.0.0.1", _free_port()) for _ in range(3)]
-        bounds = Bounds(4.0, 5.0, True, 0.2, 10.0, 100, 2.0)
-        settings = EntrySettings("n1", "z0", "127.0.0.1", *address, _free_port(), None, bounds)
-        store = MetadataStore("127.0.0.1", platform.port)
-        source = ViewSource(
-            store, CONFIGURATION_KEY, SERVERS_PREFIX, decode_configuration, decode_server
-        )
-        node = EntryNode.from_config(settings, store, source, Dialect(), seed=1)
-        nursery.start_soon(node.run)
+        node, settings, _ = start_node(platform, nursery, "n1", "127.0.0.1", find_free_port())
         site = Site(platform, node, settings, nursery)
         await site.wait_until(lambda: node.view.configuration is not None)
         await site.wait_until(lambda: all(s.layers for s in platform.servers if s.kind))
@@ -106,7 +119,7 @@
 async def _wait_for_front(settings):
     for _ in range(100):
         with contextlib.suppress(ServerError):
-            (await connect("127.0.0.1", settings.front.port, 0.5)).close()
+            (await connect(settings.front.host, settings.front.port, 0.5)).close()
             return
         await trio.sleep(0.02)
 
--- a/basilwinch/platform/tests/standin.py
+++ b/basilwinch/platform/tests/standin.py
@@ -110,6 +110,9 @@
         self.outage_status: int | None = None  # sent to all calls if set; 0 sends no answer
         self._store_connections: set = set()
         self._silent_connections: set = set()
+        # How the links of a node to all servers are cut, by its address; see cut_node().
+        self._cuts: dict[str, str] = {}
+        self._server_streams: set = set()
         self.calls = 0
         self.era: bytes | None = b"1"  # header of all answers that counts restores; None for none
         self.port = 0
@@ -147,6 +150,26 @@
         self.register(server)
         return server
 
+    def cut_node(self, host: str, how: str) -> None:
+        """Cut the links of a node to all servers.
+
+        :param how: ``hang`` (nothing is answered any more), ``reset`` (open and new connections are
+            reset) or ``refuse`` (new ones are reset, open ones live on)
+        """
+        self._cuts[host] = how
+        for stream in [s for s in self._server_streams if _read_peer(s) == host]:
+            if how == "reset":
+                _reset_stream(stream)
+
+    def heal_node(self, host: str) -> None:
+        """Let a node reach servers again; connections that hang stay silent."""
+        self._cuts.pop(host, None)
+
+    async def _pass_link(self, stream) -> None:
+        """Wait forever if the link of the node at the other end hangs."""
+        if self._cuts.get(_read_peer(stream)) == "hang":
+            await trio.sleep_forever()
+
     def register(self, server: StandinServer) -> None:
         """Write a server's entry."""
         server.heartbeats += 1
@@ -193,7 +216,14 @@
 
     def _serve_with(self, answer):
         async def serve(stream):
-            await CallerConnection(stream, answer, CallerLimits).run()
+            if self._cuts.get(_read_peer(stream)) in ("reset", "refuse"):
+                _reset_stream(stream)
+                return
+            self._server_streams.add(stream)
+            try:
+                await CallerConnection(stream, answer, CallerLimits).run()
+            finally:
+                self._server_streams.discard(stream)
 
         return serve
 
@@ -305,6 +335,7 @@
         return 200, {}
 
     async def _answer_server(self, server, exchange) -> None:
+        await self._pass_link(exchange._connection._stream)
         if exchange.target == b"/-/report":
             report = {"sequence": server.orders, "layers": server.layers}
             await exchange.respond(200, [], json.dumps(report).encode())
@@ -354,6 +385,7 @@
             await trio.sleep_forever()
         for number in range(start, _EVENTS_PER_STREAM + 1):
             await trio.sleep(_EVENT_INTERVAL_S)
+            await self._pass_link(exchange._connection._stream)
             await exchange.send(b"id: %d\ndata: token\n\n" % number)
             if fault == "pause" and number == 3:
                 await trio.sleep(_PAUSE_S)
@@ -385,6 +417,18 @@
 
 def _reset(exchange) -> None:
     """Reset the connection of a request."""
-    sock = exchange._connection._stream.socket
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
-    sock.close()
+    _reset_stream(exchange._connection._stream)
+
+
+def _reset_stream(stream) -> None:
+    with contextlib.suppress(OSError):
+        stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+        stream.socket.close()
+
+
+def _read_peer(stream) -> str:
+    """Return the address of the other end of a connection, or an empty string if it is closed."""
+    try:
+        return stream.socket.getpeername()[0]
+    except OSError:
+        return ""
--- /dev/null
+++ b/basilwinch/tunnel/listener.py
@@ -0,0 +1,180 @@
+"""Carrying of other nodes' connections to servers."""
+
+import contextlib
+import itertools
+import socket
+
+import structlog
+import trio
+
+from basilwinch.exception import ServerError
+from basilwinch.tunnel.framing import END_FRAME, encode_frames
+from basilwinch.tunnel.handshake import (
+    MAX_LINE_BYTES,
+    TunnelAnswer,
+    decode_request,
+    encode_answer,
+)
+from basilwinch.wire import open_socket, set_socket_options
+
+__all__ = ["TunnelListener"]
+
+_MAX_TUNNELS = 256  # two descriptors each, an eighth of those that a node may have
+_HANDSHAKE_TIMEOUT_S = 1.0
+_CONNECT_TIMEOUT_S = 0.2  # below the time that an origin waits for the answer
+_READ_CHUNK_BYTES = 32768
+_RESET_ON_CLOSE = b"\1\0\0\0\0\0\0\0"  # struct linger: on, 0 s
+# A tunnel of a stopping node that carried nothing for so long has no response in progress: servers
+# are silent for a second or so at most.
+_QUIET_S = 2.5
+
+
+class TunnelListener:
+    """Accepts tunnels of registered nodes and copies their bytes to and from servers.
+
+    :param links: :class:`~basilwinch.tunnel.reachability.Reachability` of this node
+    :param carriers: :class:`~basilwinch.tunnel.carriers.Carriers`, which knows the other nodes
+    :param view: :class:`~basilwinch.view.View` with the servers
+    :param clock: function that returns the time in seconds
+    """
+
+    __slots__ = (
+        "_links",
+        "_carriers",
+        "_view",
+        "_clock",
+        "_active",
+        "_numbers",
+        "_stopping",
+        "_log",
+    )
+
+    def __init__(self, links, carriers, view, clock):
+        self._links = links
+        self._carriers = carriers
+        self._view = view
+        self._clock = clock
+        # Time at which each tunnel last carried bytes, by its number.
+        self._active: dict[int, float] = {}
+        self._numbers = itertools.count(1)
+        self._stopping = False
+        self._log = structlog.get_logger("tunnel")
+
+    def count_tunnels(self) -> int:
+        """Return the number of tunnels that this node carries."""
+        return len(self._active)
+
+    def stop(self) -> None:
+        """Accept no more tunnels; those in use go on."""
+        self._stopping = True
+
+    def is_quiet(self) -> bool:
+        """Return whether no tunnel has carried anything lately."""
+        return all(self._clock() - at > _QUIET_S for at in self._active.values())
+
+    async def serve(self, stream: trio.SocketStream) -> None:
+        """Serve one connection of another node."""
+        origin = stream.socket
+        with origin:
+            peer = origin.getpeername()[0]
+            if not self._carriers.has_address(peer):
+                self._log.warning("tunnel of an unknown node refused", peer=peer)
+                return
+            set_socket_options(origin)
+            with contextlib.suppress(OSError):
+                await self._serve_node(origin, peer)
+
+    async def _serve_node(self, origin, peer: str) -> None:
+        line = b""
+        with trio.move_on_after(_HANDSHAKE_TIMEOUT_S):
+            line = await _receive_line(origin)
+        request = decode_request(line)
+        if request is None:
+            self._log.warning("tunnel request malformed", peer=peer, line=line[:80])
+            return
+        server, answer = await self._connect(request)
+        if server is None:
+            self._log.info("tunnel refused", peer=peer, server=request.server_id, answer=answer)
+            await _send_all(origin, encode_answer(answer))
+            return
+        number = next(self._numbers)
+        self._active[number] = self._clock()
+        try:
+            with server:
+                await _send_all(origin, encode_answer(answer))
+                await self._copy(origin, server, number)
+        finally:
+            del self._active[number]
+
+    async def _connect(self, request) -> tuple:
+        """Return a socket to the server or None, and the answer to the origin."""
+        entry = self._view.servers.get(request.server_id)
+        if entry is None or entry.leaving or entry.address != (request.host, request.port):
+            return None, TunnelAnswer.UNKNOWN
+        if self._links.is_disconnected:
+            return None, TunnelAnswer.DISCONNECTED
+        if self._stopping or len(self._active) >= _MAX_TUNNELS:
+            return None, TunnelAnswer.BUSY
+        start = self._clock()
+        try:
+            return await open_socket(*entry.address, _CONNECT_TIMEOUT_S), TunnelAnswer.OK
+        except ServerError:
+            timed_out = self._clock() - start >= _CONNECT_TIMEOUT_S
+            return None, TunnelAnswer.UNREACHABLE if timed_out else TunnelAnswer.REFUSED
+
+    async def _copy(self, origin, server, number: int) -> None:
+        """Copy in both directions until one side ends."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._copy_requests, origin, server, number, nursery.cancel_scope)
+            nursery.start_soon(self._copy_responses, server, origin, number, nursery.cancel_scope)
+
+    async def _copy_requests(self, origin, server, number: int, scope) -> None:
+        """Copy until the origin closes the tunnel, which it does only as a whole."""
+        server_reads = True
+        with contextlib.suppress(OSError):
+            while data := await origin.recv(_READ_CHUNK_BYTES):
+                self._active[number] = self._clock()
+                if server_reads:
+                    server_reads = await _try_send(server, data)
+        scope.cancel()
+
+    async def _copy_responses(self, server, origin, number: int, scope) -> None:
+        """Copy until the server's connection ends, and tell the origin how it ended."""
+        try:
+            while data := await server.recv(_READ_CHUNK_BYTES):
+                self._active[number] = self._clock()
+                await _send_all(origin, encode_frames(data))
+            await _send_all(origin, END_FRAME)
+            # The origin reads the rest and closes the tunnel, which ends the other task.
+            await trio.sleep(_QUIET_S)
+        except OSError:
+            # Without the end frame, the origin takes the connection for broken.
+            with contextlib.suppress(OSError):
+                origin.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+        scope.cancel()
+
+
+async def _try_send(server, data: bytes) -> bool:
+    """Send to a server; return False if it no longer reads, though it may have responded."""
+    try:
+        await _send_all(server, data)
+    except OSError:
+        return False
+    return True
+
+
+async def _receive_line(sock) -> bytes:
+    """Return the bytes up to a line feed; the origin sends nothing after it before the answer."""
+    line = b""
+    while not line.endswith(b"\n") and len(line) < MAX_LINE_BYTES:
+        data = await sock.recv(MAX_LINE_BYTES - len(line))
+        if not data:
+            break
+        line += data
+    return line
+
+
+async def _send_all(sock, data: bytes) -> None:
+    view = memoryview(data)
+    while view:
+        view = view[await sock.send(view) :]
--- /dev/null
+++ b/basilwinch/tunnel/tests/test_tunnel.py
@@ -0,0 +1,247 @@
+"""Tests of connections to a server through another node, over real sockets."""
+
+import socket
+
+import pytest
+import trio
+
+from basilwinch.exception import SERVER_UNREACHABLE, TUNNEL_UNAVAILABLE, ServerError
+from basilwinch.tunnel.tests.conftest import ORIGIN_IP
+from basilwinch.wire import ConnectionPool
+
+REQUEST = (b"POST", b"/x", [(b"Content-Length", b"4")], b"body")
+BODY = b"event " * 30000  # more than one frame
+
+
+async def read_request(stream) -> bytes:
+    """Return one request with a body of four bytes, or what came before the connection ended."""
+    data = b""
+    while not data.endswith(b"body") and (part := await stream.receive_some()):
+        data += part
+    return data
+
+
+def make_answer(head: bytes, body: bytes, reset: bool = False):
+    """Return a server that answers each connection once, then ends or resets it."""
+
+    async def answer(stream):
+        if await read_request(stream):
+            await stream.send_all(b"HTTP/1.1 200 OK\r\n" + head + b"\r\n" + body)
+            if reset:
+                await trio.sleep(0.05)
+                linger = b"\1\0\0\0\0\0\0\0"
+                stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+    return answer
+
+
+async def call(connection) -> bytes:
+    await connection.send(*REQUEST)
+    await connection.receive_head()
+    return await connection.receive_body(1 << 20)
+
+
+HEADS = [
+    pytest.param(b"Content-Length: %d\r\n" % len(BODY), id="length"),
+    pytest.param(b"", id="ends with its connection"),
+]
+
+
+@pytest.mark.parametrize("head", HEADS)
+def test_response_arrives_whole_through_a_carrier(run_path, head):
+    """Guards against bytes that a carrier changes or drops, with and without a length."""
+
+    async def test(path):
+        await path.start_server(make_answer(head, BODY))
+        name = await path.start_carrier(1)
+        connection = await path.open()
+        assert await call(connection) == BODY
+        connection.close()
+        await path.wait_until(lambda: path.listeners[name].count_tunnels() == 0)
+
+    run_path(test)
+
+
+def test_response_is_broken_if_the_server_resets_its_connection(run_path):
+    """Guards against a response without a length that ends early and looks complete."""
+
+    async def test(path):
+        await path.start_server(make_answer(b"", BODY, reset=True))
+        await path.start_carrier(1)
+        with pytest.raises(ServerError):
+            await call(await path.open())
+
+    run_path(test)
+
+
+def test_response_is_broken_if_the_carrier_ends(run_path):
+    """Guards against a response that looks complete because its carrier has died."""
+
+    async def test(path):
+        async def answer(stream):
+            await read_request(stream)
+            await stream.send_all(b"HTTP/1.1 200 OK\r\n\r\nhalf")
+            await trio.sleep_forever()
+
+        await path.start_server(answer)
+        name = await path.start_carrier(1)
+        connection = await path.open()
+        await connection.send(*REQUEST)
+        await connection.receive_head()
+        assert await connection.receive_data() == b"half"
+        path.scopes[name].cancel()
+        with pytest.raises(ServerError):
+            await connection.receive_data()
+
+    run_path(test)
+
+
+def test_server_sees_the_end_of_the_tunnel_when_the_origin_gives_up(run_path):
+    """Guards against servers that work on for callers that have left."""
+
+    async def test(path):
+        async def answer(stream):
+            while await stream.receive_some():
+                pass
+
+        await path.start_server(answer)
+        await path.start_carrier(1)
+        connection = await path.open()
+        await connection.send(*REQUEST)
+        await path.wait_until(lambda: path.accepted == 1)
+        start = trio.current_time()
+        connection.close()
+        await path.wait_until(lambda: path.closed == 1)
+        assert trio.current_time() - start < 0.3
+
+    run_path(test)
+
+
+def test_tunnel_is_reused_until_the_server_closes_it(run_path):
+    """Guards against a new connection to the server for each request, and against a dead one."""
+
+    async def test(path):
+        async def answer(stream):
+            for _ in range(2):
+                await read_request(stream)
+                await stream.send_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+
+        await path.start_server(answer)
+        await path.start_carrier(1)
+        pool = ConnectionPool(trio.current_time, 1.0, 60.0, 4, path.connector.open)
+        address = ("127.0.0.1", path.server_port)
+        for _ in range(2):
+            assert await pool.call(address, REQUEST, 100) == (200, b"ok")
+        assert path.accepted == 1
+        await path.wait_until(lambda: path.closed == 1)
+        await trio.sleep(0.05)
+        assert await pool.call(address, REQUEST, 100) == (200, b"ok")
+        assert path.accepted == 2
+
+    run_path(test)
+
+
+def test_next_carrier_is_asked_if_one_does_not_carry(run_path):
+    """Guards against a request that fails because of one frozen, stopping or cut-off carrier."""
+
+    async def test(path):
+        await path.start_server(make_answer(b"Content-Length: 2\r\n", b"ok"))
+        frozen = await trio.open_tcp_listeners(path.port, host="127.0.0.29")
+        path.carriers.add("n9", "127.0.0.29", "a")
+        stopping, disconnected = await path.start_carrier(1), await path.start_carrier(2)
+        path.listeners[stopping].stop()
+        path.carrier_links[disconnected].is_disconnected = True
+        for _ in range(2):
+            with pytest.raises(ServerError) as error:
+                await path.open()
+            assert error.value.failure.kind is TUNNEL_UNAVAILABLE
+            assert path.connector.find_obstacle() is not None
+            assert path.connector.is_isolated()
+            await trio.sleep(1.1)
+        await path.start_carrier(3)
+        for _ in range(3):
+            assert await call(await path.open()) == b"ok"
+        assert len(frozen) == 1
+
+    run_path(test)
+
+
+def test_server_that_refuses_is_told_from_a_carrier_that_does_not_carry(run_path):
+    """Guards against a crash of a server that a disconnected node takes for its own fault."""
+
+    async def test(path):
+        path.server_port = path.port  # nothing listens there on 127.0.0.1
+        path.set_server(leaving=False)
+        await path.start_carrier(1)
+        with pytest.raises(ServerError) as error:
+            await path.open()
+        assert error.value.failure.kind is SERVER_UNREACHABLE
+
+    run_path(test)
+
+
+def test_carrier_opens_no_connection_to_a_server_that_leaves(run_path):
+    """Guards against requests that reach a leaving server through a node that knows of it."""
+
+    async def test(path):
+        await path.start_server(make_answer(b"", b""))
+        path.set_server(leaving=True)
+        await path.start_carrier(1)
+        with pytest.raises(ServerError):
+            await path.open()
+        assert path.accepted == 0
+
+    run_path(test)
+
+
+@pytest.mark.parametrize(
+    ("origin_ip", "line"),
+    [
+        (ORIGIN_IP, b"TUNNEL/1 s1 127.0.0.1:1\n"),
+        (ORIGIN_IP, b"TUNNEL/1 other 127.0.0.1:%d\n"),
+        (ORIGIN_IP, b"GET / HTTP/1.1\r\n\r\n"),
+        (ORIGIN_IP, b"x" * 600),
+        ("127.0.0.99", b"TUNNEL/1 s1 127.0.0.1:%d\n"),
+    ],
+)
+def test_carrier_connects_only_registered_nodes_to_registered_servers(run_path, origin_ip, line):
+    """Guards against the use of a carrier as a proxy to any address."""
+
+    async def test(path):
+        await path.start_server(make_answer(b"", b""))
+        await path.start_carrier(1, origin_ip)
+        line_sent = line % path.server_port if b"%d" in line else line
+        with trio.socket.socket() as sock:
+            await sock.bind((ORIGIN_IP, 0))
+            await sock.connect(("127.0.0.21", path.port))
+            await sock.send(line_sent)
+            try:
+                answer = await sock.recv(100)
+            except ConnectionResetError:
+                answer = b""
+        assert answer in (b"", b"unknown\n")
+        assert path.accepted == 0
+
+    run_path(test)
+
+
+def test_carrier_takes_no_more_tunnels_than_its_limit(run_path, monkeypatch):
+    """Guards against a carrier that runs out of descriptors for its own callers."""
+
+    async def test(path):
+        async def answer(stream):
+            while await stream.receive_some():
+                pass
+
+        monkeypatch.setattr("basilwinch.tunnel.listener._MAX_TUNNELS", 3)
+        await path.start_server(answer)
+        await path.start_carrier(1)
+        tunnels = [await path.open() for _ in range(3)]
+        with pytest.raises(ServerError):
+            await path.open()
+        tunnels.pop().close()
+        await trio.sleep(1.1)
+        tunnels.append(await path.open())
+        assert path.accepted == 4
+
+    run_path(test)
--- a/basilwinch/view/state.py
+++ b/basilwinch/view/state.py
@@ -30,6 +30,7 @@
         "configuration",
         "servers",
         "by_service",
+        "by_address",
         "confirmed_at",
         "peer_versions",
         "_count_peers",
@@ -42,6 +43,7 @@
         self.configuration: Configuration | None = None
         self.servers: dict[str, ServerEntry] = {}
         self.by_service: dict[str, list[ServerEntry]] = {}
+        self.by_address: dict[tuple[str, int], ServerEntry] = {}
         self.confirmed_at = float("-inf")
         self.peer_versions = PeerVersions()
         self._count_peers = None
@@ -165,8 +167,9 @@
         return now - min(self.confirmed_at, missing_since)
 
     def _index(self) -> None:
-        """Group the servers by service. Time is linear in their number."""
+        """Group the servers by service and by address. Time is linear in their number."""
         groups: dict[str, list[ServerEntry]] = {}
         for entry in self.servers.values():
             groups.setdefault(entry.service, []).append(entry)
         self.by_service = groups
+        self.by_address = {entry.address: entry for entry in self.servers.values()}
--- a/basilwinch/wire/client.py
+++ b/basilwinch/wire/client.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import socket
+from functools import singledispatch
 
 import h11
 import trio
@@ -13,7 +14,7 @@
     ServerError,
 )
 
-__all__ = ["ServerConnection", "connect"]
+__all__ = ["ServerConnection", "connect", "is_open_and_silent", "open_socket", "set_socket_options"]
 
 _READ_CHUNK_BYTES = 65536
 _TCP_USER_TIMEOUT_MS = 3000  # a connection is closed if sent data is not acknowledged for this time
@@ -25,45 +26,96 @@
 _TCP_KEEPALIVE_PROBES = 2
 
 
-async def connect(host: str, port: int, timeout_s: float) -> "ServerConnection":
+async def connect(
+    host: str, port: int, timeout_s: float, local_host: str | None = None, on_result=None
+) -> "ServerConnection":
     """Open a connection.
 
     :param host: IP address
     :param port: port
     :param timeout_s: maximum time to wait, in seconds
+    :param local_host: own IP address that the server must see, None for any
+    :param on_result: see :class:`ServerConnection`
     :raises ServerError: with ``SERVER_UNREACHABLE``; no request has been sent
     """
+    sock = await open_socket(host, port, timeout_s, local_host)
+    return ServerConnection(sock, host, port, on_result)
+
+
+async def open_socket(host: str, port: int, timeout_s: float, local_host: str | None = None):
+    """Return a connected trio socket that detects the loss of its peer within seconds.
+
+    :param local_host: own IP address that the peer must see, None for any
+    :raises ServerError: with ``SERVER_UNREACHABLE``
+    """
     with contextlib.ExitStack() as undo:
         sock = undo.enter_context(trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM))
         try:
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _TCP_USER_TIMEOUT_MS)
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _TCP_KEEPALIVE_IDLE_S)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _TCP_KEEPALIVE_INTERVAL_S)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _TCP_KEEPALIVE_PROBES)
+            set_socket_options(sock)
+            if local_host is not None:
+                await sock.bind((local_host, 0))
             with trio.fail_after(timeout_s):
                 await sock.connect((host, port))
         except (OSError, trio.TooSlowError) as error:
             raise ServerError(SERVER_UNREACHABLE.because(f"{host}:{port}: {error!r}")) from None
         undo.pop_all()
-        return ServerConnection(sock, host, port)
+        return sock
+
+
+def set_socket_options(sock) -> None:
+    """Set the options of a connection to a server, or of a part of the way there."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _TCP_USER_TIMEOUT_MS)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _TCP_KEEPALIVE_IDLE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _TCP_KEEPALIVE_INTERVAL_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _TCP_KEEPALIVE_PROBES)
+
+
+@singledispatch
+def is_open_and_silent(sock) -> bool:
+    """Return whether a socket without a request is still open and has received no bytes."""
+    try:
+        sock._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+    return False
 
 
 class ServerConnection:
     """One HTTP/1.1 connection to a server, for one request at a time.
 
-    :param sock: connected trio socket
+    :param sock: connected trio socket, or another object with its methods ``send``, ``recv`` and
+        ``close``
     :param host: IP address of the server
     :param port: port of the server
+    :param on_result: function that is called once for each request: with True when the first bytes
+        of its response arrive, or with False if the connection ends before, and with whether it is
+        the first request of the connection; None for no call
     """
 
-    __slots__ = ("host", "port", "_sock", "_protocol", "_unsent", "idle_since", "server_max_idle_s")
-
-    def __init__(self, sock, host: str, port: int):
+    __slots__ = (
+        "host",
+        "port",
+        "_sock",
+        "_on_result",
+        "_awaits_result",
+        "_is_fresh",
+        "_protocol",
+        "_unsent",
+        "idle_since",
+        "server_max_idle_s",
+    )
+
+    def __init__(self, sock, host: str, port: int, on_result=None):
         self.host = host
         self.port = port
         self._sock = sock
+        self._on_result = on_result
+        self._awaits_result = False
+        self._is_fresh = True
         self._protocol = h11.Connection(h11.CLIENT)
         self._unsent = None
         self.idle_since = 0.0
@@ -78,6 +130,7 @@
         :raises ServerError: with ``OUTCOME_UNKNOWN`` if sending fails, as the request may have
             reached the server
         """
+        self._awaits_result = True
         host_field = [] if _has_host(header) else [(b"Host", f"{self.host}:{self.port}".encode())]
         try:
             request = h11.Request(method=method, target=target, headers=host_field + list(header))
@@ -164,13 +217,7 @@
 
     def is_open_and_silent(self) -> bool:
         """Return whether an idle connection is still open and has received no bytes."""
-        try:
-            self._sock._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            return True
-        except OSError:
-            return False
-        return False
+        return is_open_and_silent(self._sock)
 
     def close(self) -> None:
         """Close the connection."""
@@ -185,10 +232,25 @@
                 if self._unsent is not None:
                     await self._send_while_receiving()
                 else:
-                    self._protocol.receive_data(await self._sock.recv(_READ_CHUNK_BYTES))
+                    self._protocol.receive_data(await self._receive())
         except (OSError, h11.RemoteProtocolError) as error:
             raise ServerError(self._outcome_unknown(error)) from None
 
+    async def _receive(self) -> bytes:
+        """Receive bytes, and report the first ones or the end before them."""
+        try:
+            data = await self._sock.recv(_READ_CHUNK_BYTES)
+        except OSError:
+            self._report_result(False)
+            raise
+        self._report_result(bool(data))
+        return data
+
+    def _report_result(self, answered: bool) -> None:
+        if self._awaits_result and self._on_result is not None:
+            self._on_result(answered, self._is_fresh)
+        self._awaits_result = self._is_fresh = False
+
     async def _send_while_receiving(self) -> None:
         """Send the rest of a long body until the first bytes of the response arrive."""
         async with trio.open_nursery() as nursery:
@@ -196,7 +258,7 @@
             async def receive():
                 data = b""
                 with contextlib.suppress(OSError):
-                    data = await self._sock.recv(_READ_CHUNK_BYTES)
+                    data = await self._receive()
                 # Passed to h11 at once: the waiting task may be cancelled before the nursery ends,
                 # and the bytes would be lost.
                 self._protocol.receive_data(data)
--- a/basilwinch/wire/pool.py
+++ b/basilwinch/wire/pool.py
@@ -12,17 +12,31 @@
     :param connect_timeout_s: maximum time to open a connection, in seconds
     :param max_idle_s: maximum idle time of a connection, in seconds
     :param max_idle_connections: maximum number of idle connections to an address
+    :param open_connection: async function like :func:`~basilwinch.wire.client.connect`
     """
 
-    __slots__ = ("_clock", "_connect_timeout_s", "_max_idle_s", "_max_idle_connections", "_idle")
+    __slots__ = (
+        "_clock",
+        "_connect_timeout_s",
+        "_max_idle_s",
+        "_max_idle_connections",
+        "_open",
+        "_idle",
+    )
 
     def __init__(
-        self, clock, connect_timeout_s: float, max_idle_s: float, max_idle_connections: int
+        self,
+        clock,
+        connect_timeout_s: float,
+        max_idle_s: float,
+        max_idle_connections: int,
+        open_connection=connect,
     ):
         self._clock = clock
         self._connect_timeout_s = connect_timeout_s
         self._max_idle_s = max_idle_s
         self._max_idle_connections = max_idle_connections
+        self._open = open_connection
         self._idle: dict[tuple[str, int], list[ServerConnection]] = {}
 
     async def acquire(self, address: tuple[str, int], fresh: bool = False) -> ServerConnection:
@@ -39,7 +53,7 @@
             if self._is_usable(connection):
                 return connection
             connection.close()
-        return await connect(*address, self._connect_timeout_s)
+        return await self._open(*address, self._connect_timeout_s)
 
     async def call(
         self, address: tuple[str, int], request: tuple, max_body_bytes: int, fresh: bool = False
@@ -96,6 +110,11 @@
         for connection in self._idle.pop(address, ()):
             connection.close()
 
+    def close_all_idle(self) -> None:
+        """Close all idle connections, as their way to the servers is lost."""
+        for address in list(self._idle):
+            self.close_idle(address)
+
     def close_expired(self) -> None:
         """Close connections that have been idle for longer than their limit."""
         for idle in self._idle.values():
