Ask several servers before a crash is attributed

A node that checks whether a crash was a crash asked one server if its links were not in doubt yet, and that one could be the crashed server: the crash was then not attributed. The failure now counts as doubt first, so three are asked. Evidence: the two tests of forward/tests/test_crashes.py failed before and pass now.

--- a/basilwinch/tunnel/monitor.py
+++ b/basilwinch/tunnel/monitor.py
@@ -75,6 +75,7 @@
             return True
         async with self._confirming:
             if not self._links.has_answered_since(failed_at):
+                self._links.record_failure(failed_at)
                 await self.probe()
             return self._links.has_answered_since(failed_at)
 
