Soak: cut nodes from all servers

The run fails if cut nodes serve less than two thirds as often as the others from 3 s on. A planted violation is found by the check.

--- a/bench/soak_processes.py
+++ b/bench/soak_processes.py
@@ -3,6 +3,7 @@
 import argparse
 import contextlib
 import json
+import math
 import os
 import pathlib
 import random
@@ -34,6 +35,11 @@
 _COPY_INTERVAL_S = 0.5  # between copies of the store
 _MAX_COPY_AGE_S = 6.0
 _STORE_FAULT_PERIOD = 3  # with ``restores``, one of so many faults is a restore or dead connections
+_LINK_FAULT_PERIOD = 4  # with ``cuts``, one of so many faults cuts nodes from all servers
+_CUT_DURATION_RANGE_S = (3.0, 7.0)
+_STABLE_S = 3.0  # after the start of a cut or the end of a fault of its process, a node must serve
+_MIN_SERVED_RATIO = 2 / 3  # of cut nodes, against nodes that reach servers
+_MAX_FAILED_FIRST = 10  # first attempts that may fail at cut nodes, besides one in 50
 _REWRITE_DELAY_RANGE_S = (0.0, 1.0)  # until the operator and the servers write again
 
 
@@ -49,6 +55,14 @@
         self.settings = folder / f"node-{number}.toml"
         self.settings.write_text(make_settings(number, self.host, f"{proxy.host}:{proxy.port}"))
         self.process: subprocess.Popen | None = None
+        self.cuts = 0  # cuts from all servers in force
+        self.cut_at = 0.0
+        self.disturbed_until = 0.0
+
+    def disturb(self, duration_s: float = 0.0) -> None:
+        """Record a fault of the process, or of its way to the store."""
+        until = trio.current_time() + duration_s + _STABLE_S
+        self.disturbed_until = max(self.disturbed_until, until)
 
     def start(self) -> None:
         command = [sys.executable, "-m", "basilwinch.platform.program"]
@@ -68,6 +82,7 @@
     async def restart(self, signal_number: int) -> None:
         """End the process by a signal and start it again."""
         process = self.process
+        self.disturb(math.inf)
         self.send_signal(signal.SIGCONT)
         self.send_signal(signal_number)
         while process.poll() is None:
@@ -75,6 +90,7 @@
         # If restarts overlap, only the first to see the end starts a new process.
         if self.process is process:
             self.start()
+        self.disturbed_until = trio.current_time() + _STABLE_S
 
 
 class Soak:
@@ -88,12 +104,24 @@
         ``refused``, or empty for none
     :param restores: whether the store is also restored from older copies, and its connections fall
         silent; a seed stands for other faults then
+    :param cuts: whether nodes are also cut from all servers; a seed stands for other faults then
     """
 
     def __init__(
-        self, seed: int, seconds: float, nodes: int, folder, plant: str = "", restores: bool = False
+        self,
+        seed: int,
+        seconds: float,
+        nodes: int,
+        folder,
+        plant: str = "",
+        restores: bool = False,
+        cuts: bool = False,
     ):
         self.restores = restores
+        self.cuts = cuts
+        # First attempts at nodes in order while some nodes are cut: served and sent, by whether
+        # the node of the caller is one of them.
+        self.first_attempts = {True: [0, 0], False: [0, 0]}
         self.copies: list[tuple[float, tuple]] = []
         self.rng = random.Random(seed)
         self.seconds = seconds
@@ -136,7 +164,14 @@
                         node.process.wait()
             nursery.cancel_scope.cancel()
         self._check_runs()
-        return {"violations": self.violations, "faults": self.faults, "requests": len(self.answers)}
+        self._check_cut_nodes()
+        return {
+            "violations": self.violations,
+            "faults": self.faults,
+            "requests": len(self.answers),
+            "at_cut_nodes": self.first_attempts[True],
+            "at_other_nodes": self.first_attempts[False],
+        }
 
     async def _run_callers_and_faults(self, nursery) -> None:
         await trio.sleep(3.0)
@@ -147,6 +182,10 @@
         async with trio.open_nursery() as faults:
             while trio.current_time() < end:
                 await trio.sleep(self.rng.uniform(*_FAULT_INTERVAL_RANGE_S))
+                if self.cuts and len(self.faults) % _LINK_FAULT_PERIOD == 0:
+                    self.faults.append("cut_servers")
+                    faults.start_soon(_cut_servers, self)
+                    continue
                 is_store_fault = self.restores and len(self.faults) % _STORE_FAULT_PERIOD == 0
                 fault = self.rng.choice(_STORE_FAULTS if is_store_fault else _FAULTS)
                 self.faults.append(fault.__name__.strip("_"))
@@ -188,6 +227,9 @@
     async def _send_request(self, node, kind, key, request_id) -> None:
         sent_at = trio.current_time()
         self.sent[request_id] = (key, sent_at)
+        group = self._find_group(node, sent_at) if key not in self.revoked else None
+        if group is not None:
+            group[1] += 1
         method = b"GET" if kind == "safe" else b"POST"
         header = [
             (b"Host", b"h.example"),
@@ -210,6 +252,35 @@
         if key not in self.revoked:
             self.answers.append((trio.current_time(), response.status_code))
         self._check_answer(kind, request_id, response, body)
+        if group is not None:
+            group[0] += response.status_code == 200
+
+    def _find_group(self, node, now: float) -> list | None:
+        """Return the counts of first attempts to which one at a node belongs, None if to none."""
+        linked = [other for other in self.nodes if not other.cuts]
+        if now < node.disturbed_until or all(now < other.disturbed_until for other in linked):
+            return None
+        cut_nodes = [other for other in self.nodes if other.cuts]
+        if not any(now - other.cut_at >= _STABLE_S for other in cut_nodes):
+            return None
+        if node.cuts and now - node.cut_at < _STABLE_S:
+            return None
+        return self.first_attempts[node.cuts > 0]
+
+    def _check_cut_nodes(self) -> None:
+        (served, sent), (served_elsewhere, sent_elsewhere) = (
+            self.first_attempts[True],
+            self.first_attempts[False],
+        )
+        if self.plant == "cut":
+            served, sent, served_elsewhere, sent_elsewhere = 0, 100, 100, 100
+        if not sent or not sent_elsewhere or sent - served <= _MAX_FAILED_FIRST + sent / 50:
+            return
+        if served / sent < _MIN_SERVED_RATIO * served_elsewhere / sent_elsewhere:
+            self.violations.append(
+                f"cut nodes served {served} of {sent} requests, others {served_elsewhere} of "
+                f"{sent_elsewhere}"
+            )
 
     def _check_answer(self, kind, request_id, response, body) -> None:
         headers = dict(response.headers)
@@ -270,6 +341,7 @@
 
 async def _pause(soak, node):
     duration_s = _draw_duration_s(soak)
+    node.disturb(duration_s)
     node.send_signal(signal.SIGSTOP)
     await trio.sleep(duration_s)
     node.send_signal(signal.SIGCONT)
@@ -283,7 +355,9 @@
     node.proxy.mode = soak.rng.choice(["silent", "refuse"])
     if node.proxy.mode == "refuse":
         node.proxy.reset_all()
-    await trio.sleep(_draw_duration_s(soak))
+    duration_s = _draw_duration_s(soak)
+    node.disturb(duration_s)
+    await trio.sleep(duration_s)
     node.proxy.mode = "pass"
 
 
@@ -349,6 +423,23 @@
     soak.platform.silence_connections()
 
 
+async def _cut_servers(soak):
+    """Cut some nodes, or all of them, from all servers."""
+    nodes = soak.rng.sample(soak.nodes, soak.rng.randint(1, len(soak.nodes)))
+    how = soak.rng.choice(["hang", "reset", "refuse"])
+    for node in nodes:
+        if not node.cuts:
+            node.cut_at = trio.current_time()
+        node.cuts += 1
+        soak.platform.cut_node(node.host, how)
+    await trio.sleep(soak.rng.uniform(*_CUT_DURATION_RANGE_S))
+    for node in nodes:
+        node.cuts -= 1
+        if not node.cuts:
+            soak.platform.heal_node(node.host)
+            node.disturb()
+
+
 _STORE_FAULTS = [_restore_store, _restore_store, _silence_store]
 
 _FAULTS = [
@@ -368,13 +459,19 @@
 
 
 def run_seed(
-    seed: int, seconds: float, nodes: int, folder: str, plant: str = "", restores: bool = False
+    seed: int,
+    seconds: float,
+    nodes: int,
+    folder: str,
+    plant: str = "",
+    restores: bool = False,
+    cuts: bool = False,
 ) -> dict:
     """Run one seed and return its report."""
     with contextlib.ExitStack() as stack:
         folder = folder or stack.enter_context(tempfile.TemporaryDirectory())
         pathlib.Path(folder).mkdir(parents=True, exist_ok=True)
-        return trio.run(Soak(seed, seconds, nodes, folder, plant, restores).run)
+        return trio.run(Soak(seed, seconds, nodes, folder, plant, restores, cuts).run)
 
 
 def main(arguments=None) -> int:
@@ -388,7 +485,8 @@
     parser.add_argument("--nodes", type=int, default=4)
     parser.add_argument("--logs", default="", help="folder for logs; a temporary one by default")
     parser.add_argument("--restores", action="store_true", help="also restore the store")
-    parser.add_argument("--plant", default="", choices=["", "twice", "refused"])
+    parser.add_argument("--cuts", action="store_true", help="also cut nodes from all servers")
+    parser.add_argument("--plant", default="", choices=["", "twice", "refused", "cut"])
     options = parser.parse_args(arguments)
     # Suppresses the stand-in's lines on intended faults; the nodes write their own logs.
     configure_logs("json", "critical")
@@ -398,7 +496,13 @@
     for seed in range(options.seed, options.seed + options.seeds):
         folder = f"{options.logs}/seed-{seed}" if options.logs else ""
         report = run_seed(
-            seed, options.seconds, options.nodes, folder, options.plant, options.restores
+            seed,
+            options.seconds,
+            options.nodes,
+            folder,
+            options.plant,
+            options.restores,
+            options.cuts,
         )
         failed += bool(report["violations"])
         print(json.dumps({"seed": seed, **report}), flush=True)
--- a/bench/tests/test_soak_processes.py
+++ b/bench/tests/test_soak_processes.py
@@ -27,7 +27,20 @@
     assert "restore_store" in report["faults"]
 
 
-@pytest.mark.parametrize(("plant", "words"), [("twice", "ran 2 times"), ("refused", "refused")])
+@pytest.mark.parametrize("seed", [1, 2])
+def test_no_promise_is_broken_by_nodes_cut_off_from_all_servers(seed, tmp_path):
+    """Guards against callers that are served far worse at nodes that have lost all servers."""
+    report = run_seed(seed, seconds=8.0, nodes=4, folder=str(tmp_path), cuts=True)
+    assert report["violations"] == []
+    assert report["requests"] > 200
+    assert "cut_servers" in report["faults"]
+    assert report["at_cut_nodes"][1] > 20
+
+
+@pytest.mark.parametrize(
+    ("plant", "words"),
+    [("twice", "ran 2 times"), ("refused", "refused"), ("cut", "cut nodes served")],
+)
 def test_planted_faults_are_caught(plant, words, tmp_path):
     report = run_seed(2, seconds=1.0, nodes=2, folder=str(tmp_path), plant=plant)
     assert any(words in violation for violation in report["violations"])
