Accuse nobody right after the loss of links; keep plain servers free of blame for it

A check of a server may return a refusal that is 0.15 s old. Read just after a node had noticed the loss of its links, such a refusal passed for one that a carrier had seen, and a request could be accused. Accusations now need a failure 0.5 s after that.

--- a/basilwinch/forward/plain.py
+++ b/basilwinch/forward/plain.py
@@ -9,6 +9,7 @@
     DEADLINE_EXCEEDED,
     NO_SERVER,
     OUTCOME_UNKNOWN,
+    TUNNEL_UNAVAILABLE,
     Failure,
     ServerError,
 )
@@ -106,13 +107,17 @@
             selection.end(server.id, failed, load)
 
     async def _send_request(self, context, server):
-        """Return the outcome, whether the server failed, and the load that it reported, or None."""
+        """Return the outcome, whether the server failed, and the load that it reported.
+
+        The last two are None if they are not known.
+        """
         components = self._components
         fresh = context.route.kind is RouteKind.NON_IDEMPOTENT
         try:
             connection = await components.pool.acquire(server.address, fresh=fresh)
         except ServerError as error:
-            return NotRun(error.failure.reason), True, None
+            failed = None if error.failure.kind is TUNNEL_UNAVAILABLE else True
+            return NotRun(error.failure.reason), failed, None
         reusable = False
         try:
             context.sends += 1
--- a/basilwinch/platform/tests/test_tunnels.py
+++ b/basilwinch/platform/tests/test_tunnels.py
@@ -202,6 +202,7 @@
 
     async def test(fleet):
         await fleet.cut([0], "refuse")
+        await trio.sleep(0.6)  # refusals from right after the loss of links accuse nobody
         for server in fleet.platform.servers:
             server.crashing_parts = {b"dead0001"}
         headers = [(b"X-Token-Count", b"50,18"), (b"X-Prompt-Prefix", b"dead0001:9,e1:9")]
--- a/basilwinch/tunnel/connector.py
+++ b/basilwinch/tunnel/connector.py
@@ -134,7 +134,11 @@
     def is_isolated(self) -> bool:
         """Return whether callers are served better by other nodes, which may reach servers."""
         now = self._clock()
-        return self.find_obstacle() is not None and not self._carriers.all_disconnected(now)
+        return (
+            self._links.is_disconnected
+            and not self._carriers.has_usable(now)
+            and not self._carriers.all_disconnected(now)
+        )
 
     async def open(self, host: str, port: int, timeout_s: float) -> ServerConnection:
         """Open a connection to a server; the parameters are those of ``connect``.
--- a/basilwinch/tunnel/monitor.py
+++ b/basilwinch/tunnel/monitor.py
@@ -9,6 +9,7 @@
 __all__ = ["ReachabilityMonitor"]
 
 _MAX_REPORT_BYTES = 1 << 20
+_MAX_PROBE_AGE_S = 0.5  # age of a refusal that a check of a server may return
 
 
 class ReachabilityMonitor:
@@ -65,14 +66,15 @@
     async def can_blame(self, failed_at: float) -> bool:
         """Return whether a server that refuses connections has crashed.
 
-        While this node is disconnected, a carrier has seen the refusal. Otherwise another server
+        While this node is disconnected, a carrier has seen the refusal, unless it is from before.
+        Otherwise another server
         must answer on a connection that was opened after the failure; else the links of this node
         may be at fault. Some servers are asked if none has answered yet.
 
         :param failed_at: time of the failure, in seconds
         """
         if self._links.is_disconnected:
-            return True
+            return failed_at - self._links.disconnected_at > _MAX_PROBE_AGE_S
         async with self._confirming:
             if not self._links.has_answered_since(failed_at):
                 self._links.record_failure(failed_at)
--- a/basilwinch/tunnel/reachability.py
+++ b/basilwinch/tunnel/reachability.py
@@ -45,8 +45,8 @@
 class Reachability:
     """Tracks whether servers answer on connections that this node opens itself.
 
-    ``is_disconnected`` is true while none does. All times are in seconds of one clock. Each call
-    takes constant time.
+    ``is_disconnected`` is true while none does, since ``disconnected_at``. All times are in seconds
+    of one clock. Each call takes constant time.
 
     >>> links = Reachability()
     >>> links.record_failure(1.0)
@@ -60,6 +60,7 @@
 
     __slots__ = (
         "is_disconnected",
+        "disconnected_at",
         "_answered_at",
         "_heard_at",
         "_failed_at",
@@ -70,6 +71,7 @@
 
     def __init__(self):
         self.is_disconnected = False
+        self.disconnected_at = -math.inf
         # Opening time of the newest connection on which a server has answered.
         self._answered_at = -math.inf
         # Time of the newest response on any connection; an old one may live on alone.
@@ -140,6 +142,7 @@
         if self.is_disconnected or self._failed_rounds < _FAILED_ROUNDS_TO_DISCONNECT:
             return False
         self.is_disconnected = True
+        self.disconnected_at = now
         return True
 
     def _count_good_round(self, result: ProbeRound, now: float) -> bool:
