Send no more requests to a server whose answers say that it is leaving

Fix: the adapter decodes the field, and the view takes the server for leaving until its entry is removed or it has started again, so that paths, plain selection, the layout and tunnels leave it out as any other. Evidence: the three tests of test_server_answers.py send on to the server without the change.

--- a/basilwinch/forward/components.py
+++ b/basilwinch/forward/components.py
@@ -94,6 +94,16 @@
     def _list_exhausted(self, servers) -> set[str]:
         return self.server_limits.list_exhausted(server.id for server in servers)
 
+    def observe_server(self, server_id: str, status: int, headers: dict[bytes, bytes]) -> None:
+        """Record what the header of a response says about the server that sent it.
+
+        :param status: status of the response
+        :param headers: values by lower-case name
+        """
+        self.server_limits.observe(server_id, self.dialect.read_server_limit(headers))
+        if self.dialect.is_leaving(headers):
+            self.view.mark_leaving(server_id)
+
     def count_exhausted(self, context: Context) -> int:
         """Return the number of servers of a request's service that are at their limit."""
         return len(self._list_exhausted(self.list_servers(context)))
--- a/basilwinch/forward/plain.py
+++ b/basilwinch/forward/plain.py
@@ -134,9 +134,7 @@
             await connection.send(exchange.method, exchange.target, header, exchange.body)
             response = await connection.receive_head()
             headers = dict(response.headers)
-            components.server_limits.observe(
-                server.id, components.dialect.read_server_limit(headers)
-            )
+            components.observe_server(server.id, response.status_code, headers)
             body = await connection.receive_body(_MAX_BODY_BYTES)
             reusable = True
             outcome = self._check_response(context, response, body)
--- a/basilwinch/forward/stream.py
+++ b/basilwinch/forward/stream.py
@@ -312,9 +312,7 @@
         headers = dict(response.headers)
         if not dialect.matches_request(headers, context.info.id):
             return OutcomeUnknown("response carries the id of another request")
-        self._components.server_limits.observe(
-            path.members[0].server, dialect.read_server_limit(headers)
-        )
+        self._components.observe_server(path.members[0].server, response.status_code, headers)
         if dialect.is_not_run(response.status_code, headers):
             await connection.receive_body(_MAX_BODY_BYTES)
             self._avoid_address(dialect.read_faulty_server(headers), path)
--- a/basilwinch/platform/dialect.py
+++ b/basilwinch/platform/dialect.py
@@ -132,6 +132,10 @@
         """Return whether a response has the id of the request, or no id."""
         return headers.get(b"x-request-id", request_id) == request_id
 
+    def is_leaving(self, headers: dict[bytes, bytes]) -> bool:
+        """Return whether a response says that its server is about to stop."""
+        return headers.get(b"server-leaving", b"").strip() == b"1"
+
     def read_faulty_server(self, headers: dict[bytes, bytes]) -> str | None:
         """Return host:port of the chain member that failed, or None if the response names none."""
         value = headers.get(b"at-server")
--- a/basilwinch/platform/tests/standin.py
+++ b/basilwinch/platform/tests/standin.py
@@ -42,8 +42,10 @@
         self.faults: list[str] = []
         self.crashing_parts: set[bytes] = set()
         self.limit: bytes | None = None  # requests per second that its answers name
+        self.names_leaving = False  # whether its answers say that it leaves
         self.run_times: list[float] = []
         self.state = "ready"
+        self.born = 1  # Unix time of its start in milliseconds
         self.heartbeats = 0
         self._scope = trio.CancelScope()
         self._listen_scope = trio.CancelScope()
@@ -83,7 +85,7 @@
             "slots": 8,
             "state": self.state,
             "sequence": self.heartbeats,
-            "born": 1,
+            "born": self.born,
         }
         if self.kind:
             fields["kind"] = self.kind
@@ -354,6 +356,8 @@
         header = [(b"X-Request-Id", request_id)]
         if server.limit is not None:
             header.append((b"Server-Limit", server.limit))
+        if server.names_leaving:
+            header.append((b"Server-Leaving", b"1"))
         if fault == "full":
             await exchange.respond(503, [*header, (b"X-Not-Executed", b"1")], b"")
             return
--- /dev/null
+++ b/basilwinch/platform/tests/test_server_answers.py
@@ -0,0 +1,52 @@
+"""End-to-end tests of what servers ask for in the headers of their answers."""
+
+import pytest
+import trio
+
+TOKENS = [(b"X-Token-Count", b"50,18")]
+
+
+async def send_many(site, method, path, count, headers=()):
+    """Send requests one after another; return their statuses."""
+    statuses = []
+    for number in range(count):
+        request_id = b"%s-%d-%d" % (path, number, len(site.platform.servers))
+        statuses.append((await site.call(method, path, request_id, headers=headers))[0])
+    return statuses
+
+
+@pytest.mark.parametrize(("method", "path"), [(b"GET", b"/safe/a"), (b"POST", b"/s/a")])
+def test_server_that_says_it_is_leaving_gets_no_more_requests(run_with, method, path):
+    """Guards against requests to a server that stops before its entry says so."""
+
+    async def test(site):
+        await send_many(site, method, path, 1, TOKENS)
+        server = next(s for s in site.platform.servers if s.runs)
+        server.names_leaving = True
+        while len(server.runs) < 2:
+            await send_many(site, method, path, 1, TOKENS)
+        assert await send_many(site, method, path, 10, TOKENS) == [200] * 10
+        site.platform.register(server)
+        await trio.sleep(0.2)
+        assert await send_many(site, method, path, 10, TOKENS) == [200] * 10
+        assert len(server.runs) == 2
+
+    run_with(test)
+
+
+def test_server_that_has_started_again_gets_requests_again(run_with):
+    """Guards against a server that is left out for good because it once said that it leaves."""
+
+    async def test(site):
+        server = site.platform.servers[0]
+        server.names_leaving = True
+        await send_many(site, b"GET", b"/safe/a", 1)
+        await send_many(site, b"GET", b"/safe/a", 5)
+        assert len(server.runs) == 1
+        server.names_leaving, server.born = False, 2
+        site.platform.register(server)
+        await site.wait_until(lambda: not site.node.view.servers[server.id].leaving)
+        await send_many(site, b"GET", b"/safe/a", 2)
+        assert len(server.runs) == 3
+
+    run_with(test, plain=1)
--- a/basilwinch/view/state.py
+++ b/basilwinch/view/state.py
@@ -31,6 +31,7 @@
         "servers",
         "by_service",
         "by_address",
+        "_named_leaving",
         "confirmed_at",
         "peer_versions",
         "_count_peers",
@@ -44,6 +45,8 @@
         self.servers: dict[str, ServerEntry] = {}
         self.by_service: dict[str, list[ServerEntry]] = {}
         self.by_address: dict[tuple[str, int], ServerEntry] = {}
+        # Time of birth by id of the servers that named themselves leaving in a response.
+        self._named_leaving: dict[str, int] = {}
         self.confirmed_at = float("-inf")
         self.peer_versions = PeerVersions()
         self._count_peers = None
@@ -72,6 +75,10 @@
 
         :param revision: revision of the store at which it was written
         """
+        if self._named_leaving.get(entry.id, entry.born_ms) != entry.born_ms:
+            del self._named_leaving[entry.id]  # it has started again
+        if entry.id in self._named_leaving:
+            entry = entry.replace(leaving=True)
         previous = self.servers.get(entry.id)
         if previous == entry:
             return
@@ -93,11 +100,25 @@
         :param revision: revision of the store at its removal, 0 if that is not known
         :param reason: why, for the log
         """
+        self._named_leaving.pop(server_id, None)
         if self.servers.pop(server_id, None) is None:
             return
         self._index()
         self._log.info("server removed", server=server_id, revision=revision, reason=reason)
 
+    def mark_leaving(self, server_id: str) -> None:
+        """Take a server for leaving because a response of it said so, whatever its entry says.
+
+        This ends when the entry is removed, or the server has started again.
+        """
+        entry = self.servers.get(server_id)
+        if entry is None or entry.leaving:
+            return
+        self._named_leaving[server_id] = entry.born_ms
+        self.servers[server_id] = entry.replace(leaving=True)
+        self._index()
+        self._log.info("server says that it is leaving", server=server_id)
+
     @property
     def version(self) -> int:
         """Version of the configuration, 0 if there is none."""
