Leave out a server for the time that it names when it turns a request away

Fix: the adapter decodes the field of a 503, and ServerLimits leaves the server out as one at its limit, for 60 s at most and only at this node. Evidence: both end-to-end tests fail without the change (each server is asked for every request).

--- a/basilwinch/chains/server_limits.py
+++ b/basilwinch/chains/server_limits.py
@@ -25,6 +25,7 @@
 _LIMIT_TTL_S = 30.0
 _WITHDRAWN_TTL_S = 3.0  # time for which the end of a limit is reported
 _MAX_REPORTED_SERVERS = 512  # in a report, about 20 bytes each
+_MAX_HOLD_S = 60.0  # longest time for which a server may ask to be left out
 
 
 class ServerUsage(Record):
@@ -49,13 +50,15 @@
     :param clock: function that returns the time in seconds
     """
 
-    __slots__ = ("_clock", "_known", "_limits", "_reported_at", "_log")
+    __slots__ = ("_clock", "_known", "_held_until", "_limits", "_reported_at", "_log")
 
     def __init__(self, clock):
         self._clock = clock
         # By hash of the server: limit in requests per second, infinity for none, and time of the
         # answer that said so.
         self._known: dict[int, tuple[float, float]] = {}
+        # By id of the server: end of the time for which it wants no request of this node.
+        self._held_until: dict[str, float] = {}
         self._limits = Limits(
             AdmissionConfig(
                 burst_s=_BURST_S,
@@ -89,16 +92,28 @@
             )
         self._set_limit(server, limit_per_s, self._clock())
 
+    def hold(self, server_id: str, seconds: float) -> None:
+        """Send no request to a server that turned one away and named the time to wait.
+
+        This holds for this node alone: the server answers others for themselves.
+
+        :param seconds: time to wait, at most ``_MAX_HOLD_S`` is kept
+        """
+        until = self._clock() + min(_MAX_HOLD_S, seconds)
+        self._held_until[server_id] = max(until, self._held_until.get(server_id, until))
+        self._log.info("server wants no requests for a time", server=server_id, seconds=seconds)
+
     def list_exhausted(self, server_ids) -> set[str]:
         """Return the servers to which this node may not send a request now.
 
         The request counts as demand for each of them, so that the nodes' shares of a limit follow
         their callers.
         """
-        if not self._known:
-            return set()
         now = self._clock()
-        return {
+        held = {id for id in server_ids if now < self._held_until.get(id, -math.inf)}
+        if not self._known:
+            return held
+        return held | {
             server_id
             for server_id in server_ids
             if not self._limits.check_request(hash_server_id(server_id), now)
@@ -172,10 +187,13 @@
 
         :param known: ids of the registered servers
         """
+        now = self._clock()
+        self._held_until = {
+            id: until for id, until in self._held_until.items() if id in known and now < until
+        }
         if not self._known:
             return
         hashes = {hash_server_id(server_id) for server_id in known}
-        now = self._clock()
         for server, (limit_per_s, at) in list(self._known.items()):
             ttl_s = _WITHDRAWN_TTL_S if limit_per_s == math.inf else _LIMIT_TTL_S
             if server not in hashes or now - at > ttl_s:
--- a/basilwinch/chains/tests/test_server_limits.py
+++ b/basilwinch/chains/tests/test_server_limits.py
@@ -188,3 +188,18 @@
     limits.list_exhausted(["s"])
     now[0] += 5.0
     assert limits.list_exhausted(["s"]) == set()
+
+
+def test_time_to_wait_is_bounded_and_expires():
+    """Guards against a server that is left out for good by one answer, and against stale state."""
+    now = [0.0]
+    limits = ServerLimits(lambda: now[0])
+    limits.hold("s", 1e9)
+    limits.hold("s", 1.0)
+    now[0] = 59.0
+    assert limits.list_exhausted(["s", "t"]) == {"s"}
+    now[0] = 61.0
+    assert limits.list_exhausted(["s", "t"]) == set()
+    limits.hold("gone", 30.0)
+    limits.prune({"s": None})
+    assert limits.list_exhausted(["gone"]) == set()
--- a/basilwinch/forward/components.py
+++ b/basilwinch/forward/components.py
@@ -92,7 +92,7 @@
         return self.server_selection.choose(servers, self._list_exhausted(servers) | set(tried))
 
     def _list_exhausted(self, servers) -> set[str]:
-        return self.server_limits.list_exhausted(server.id for server in servers)
+        return self.server_limits.list_exhausted([server.id for server in servers])
 
     def observe_server(self, server_id: str, status: int, headers: dict[bytes, bytes]) -> None:
         """Record what the header of a response says about the server that sent it.
@@ -101,6 +101,9 @@
         :param headers: values by lower-case name
         """
         self.server_limits.observe(server_id, self.dialect.read_server_limit(headers))
+        retry_after_s = self.dialect.read_retry_after(status, headers)
+        if retry_after_s is not None:
+            self.server_limits.hold(server_id, retry_after_s)
         if self.dialect.is_leaving(headers):
             self.view.mark_leaving(server_id)
 
--- a/basilwinch/platform/dialect.py
+++ b/basilwinch/platform/dialect.py
@@ -132,6 +132,16 @@
         """Return whether a response has the id of the request, or no id."""
         return headers.get(b"x-request-id", request_id) == request_id
 
+    def read_retry_after(self, status: int, headers: dict[bytes, bytes]) -> float | None:
+        """Return the seconds for which a server wants no request of this node, None if it is 0.
+
+        Only a 503 asks for that; a malformed value, or a date, is ignored.
+        """
+        text = headers.get(b"retry-after", b"").strip()
+        if status != 503 or not _DECIMAL.fullmatch(text):
+            return None
+        return float(text) or None
+
     def is_leaving(self, headers: dict[bytes, bytes]) -> bool:
         """Return whether a response says that its server is about to stop."""
         return headers.get(b"server-leaving", b"").strip() == b"1"
--- a/basilwinch/platform/tests/standin.py
+++ b/basilwinch/platform/tests/standin.py
@@ -42,8 +42,10 @@
         self.faults: list[str] = []
         self.crashing_parts: set[bytes] = set()
         self.limit: bytes | None = None  # requests per second that its answers name
+        self.retry_after: bytes | None = None  # sent with the 503 of the fault "full"
         self.names_leaving = False  # whether its answers say that it leaves
         self.run_times: list[float] = []
+        self.refused_at: list[float] = []  # times of the 503 of the fault "full"
         self.state = "ready"
         self.born = 1  # Unix time of its start in milliseconds
         self.heartbeats = 0
@@ -359,6 +361,9 @@
         if server.names_leaving:
             header.append((b"Server-Leaving", b"1"))
         if fault == "full":
+            if server.retry_after is not None:
+                header.append((b"Retry-After", server.retry_after))
+            server.refused_at.append(trio.current_time())
             await exchange.respond(503, [*header, (b"X-Not-Executed", b"1")], b"")
             return
         if fault == "mute":
--- a/basilwinch/platform/tests/test_dialect.py
+++ b/basilwinch/platform/tests/test_dialect.py
@@ -57,3 +57,28 @@
     """Guards against untrusted text that stops a server's requests, or the node."""
     headers = {} if text is None else {b"server-limit": text}
     assert Dialect().read_server_limit(headers) == limit
+
+
+@pytest.mark.parametrize(
+    ("status", "value", "seconds"),
+    [
+        (503, b"2", 2.0),
+        (503, b" 0.25 ", 0.25),
+        (503, b"0", None),
+        (503, b"-1", None),
+        (503, b"Sat, 05 Dec 2026 08:00:00 GMT", None),
+        (503, b"", None),
+        (429, b"2", None),
+        (200, b"2", None),
+    ],
+)
+def test_time_to_wait_of_a_server_is_read_from_a_503_only(status, value, seconds):
+    """Guards against a server that is left out because of a field that does not say so."""
+    assert Dialect().read_retry_after(status, {b"retry-after": value}) == seconds
+
+
+@pytest.mark.parametrize(("value", "leaving"), [(b"1", True), (b" 1", True), (b"0", False)])
+def test_server_says_that_it_is_leaving(value, leaving):
+    """Guards against a server that is taken for leaving because of another value."""
+    assert Dialect().is_leaving({b"server-leaving": value}) is leaving
+    assert Dialect().is_leaving({}) is False
--- a/basilwinch/platform/tests/test_server_answers.py
+++ b/basilwinch/platform/tests/test_server_answers.py
@@ -50,3 +50,25 @@
         assert len(server.runs) == 3
 
     run_with(test, plain=1)
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "kind"), [(b"GET", b"/safe/a", None), (b"POST", b"/s/a", "card")]
+)
+def test_server_that_names_a_time_to_wait_gets_no_request_until_then(run_with, method, path, kind):
+    """Guards against requests that a full server turns away again and again."""
+
+    async def test(site):
+        servers = [s for s in site.platform.servers if s.kind == kind]
+        for server in servers:
+            server.faults, server.retry_after = ["full"] * 50, b"3.0"
+        statuses = await send_many(site, method, path, 8, TOKENS)
+        assert set(statuses) == {503}
+        asked = [server for server in servers if server.refused_at]
+        assert asked and all(len(server.refused_at) == 1 for server in asked)
+        for server in servers:
+            server.faults = []
+        await trio.sleep(3.1)
+        assert await send_many(site, method, path, 3, TOKENS) == [200] * 3
+
+    run_with(test)
