Tunnels: connect carriers from their own address; clearer names

A carrier opened connections to servers from any address, so the soak could not cut it from them; it now uses its own, as origins do. A constant and a docstring read more plainly.

--- a/basilwinch/entry/node.py
+++ b/basilwinch/entry/node.py
@@ -122,7 +122,7 @@
             clock,
             self._handle_links_changed,
         )
-        self._tunnels = TunnelListener(self._links, self._carriers, self.view, clock)
+        self._tunnels = TunnelListener(self._links, self._carriers, self.view, settings.ip, clock)
         self._pool = ConnectionPool(
             clock,
             _CONNECT_TIMEOUT_S,
--- a/basilwinch/suspicion/registry.py
+++ b/basilwinch/suspicion/registry.py
@@ -33,8 +33,8 @@
 _TRIAL_WAIT_S = 0.5
 _RECENT_FRAME_S = 1.0  # see min_attempt_age_s
 _MAX_LOGGED_DIGESTS = 32  # in one log line
-# The longest hold of another node is up to twice the configured one, by the hash of its name.
-_MAX_HOLDS = 2
+# Other nodes hold a part for up to twice the configured time, by the hash of their name.
+_LONGEST_HOLD_FACTOR = 2
 # Strikes of this node are sent first while they are younger; other nodes have no other source.
 _FRESH_STRIKE_S = 1.0
 
@@ -241,7 +241,7 @@
         strike, at = max(evidence.open_strikes(), key=lambda item: item[1])
         request = self._evidence.get(digest)
         if request is not None and request.active_strikes():
-            return at + _MAX_HOLDS * config.part_hold_elsewhere_s
+            return at + _LONGEST_HOLD_FACTOR * config.part_hold_elsewhere_s
         own = strike.node == config.node
         if any(lost <= set(parts) for lost in list_lost_parts(evidence, self._evidence)):
             return at + (config.part_hold_s if own else self._hold_elsewhere_s)
--- a/basilwinch/tunnel/listener.py
+++ b/basilwinch/tunnel/listener.py
@@ -35,6 +35,7 @@
     :param links: :class:`~basilwinch.tunnel.reachability.Reachability` of this node
     :param carriers: :class:`~basilwinch.tunnel.carriers.Carriers`, which knows the other nodes
     :param view: :class:`~basilwinch.view.View` with the servers
+    :param local_host: own IP address
     :param clock: function that returns the time in seconds
     """
 
@@ -42,6 +43,7 @@
         "_links",
         "_carriers",
         "_view",
+        "_local_host",
         "_clock",
         "_active",
         "_numbers",
@@ -49,10 +51,11 @@
         "_log",
     )
 
-    def __init__(self, links, carriers, view, clock):
+    def __init__(self, links, carriers, view, local_host: str, clock):
         self._links = links
         self._carriers = carriers
         self._view = view
+        self._local_host = local_host
         self._clock = clock
         # Time at which each tunnel last carried bytes, by its number.
         self._active: dict[int, float] = {}
@@ -117,7 +120,8 @@
             return None, TunnelAnswer.BUSY
         start = self._clock()
         try:
-            return await open_socket(*entry.address, _CONNECT_TIMEOUT_S), TunnelAnswer.OK
+            sock = await open_socket(*entry.address, _CONNECT_TIMEOUT_S, self._local_host)
+            return sock, TunnelAnswer.OK
         except ServerError:
             timed_out = self._clock() - start >= _CONNECT_TIMEOUT_S
             return None, TunnelAnswer.UNREACHABLE if timed_out else TunnelAnswer.REFUSED
--- a/basilwinch/tunnel/monitor.py
+++ b/basilwinch/tunnel/monitor.py
@@ -67,9 +67,8 @@
         """Return whether a server that refuses connections has crashed.
 
         While this node is disconnected, a carrier has seen the refusal, unless it is from before.
-        Otherwise another server
-        must answer on a connection that was opened after the failure; else the links of this node
-        may be at fault. Some servers are asked if none has answered yet.
+        Otherwise another server must answer on a connection that was opened after the failure;
+        else the links of this node may be at fault. Some are asked if none has answered yet.
 
         :param failed_at: time of the failure, in seconds
         """
--- a/basilwinch/tunnel/tests/conftest.py
+++ b/basilwinch/tunnel/tests/conftest.py
@@ -78,7 +78,7 @@
         known = Carriers("a", random.Random(3))
         known.add("origin", origin_ip, "a")
         self.carrier_links[name] = Reachability()
-        listener = TunnelListener(self.carrier_links[name], known, self.view, trio.current_time)
+        listener = TunnelListener(self.carrier_links[name], known, self.view, ip, trio.current_time)
         self.listeners[name] = listener
         sockets = await trio.open_tcp_listeners(self.port, host=ip)
         self.scopes[name] = trio.CancelScope()
