--- a/basilwinch/platform/tests/standin.py
+++ b/basilwinch/platform/tests/standin.py
@@ -42,8 +42,12 @@
         self.faults: list[str] = []
         self.crashing_parts: set[bytes] = set()
         self.limit: bytes | None = None  # requests per second that its answers name
+        self.retry_after: bytes | None = None  # sent with the 503 of the fault "full"
+        self.names_leaving = False  # whether its answers say that it leaves
         self.run_times: list[float] = []
+        self.refused_at: list[float] = []  # times of the 503 of the fault "full"
         self.state = "ready"
+        self.born = 1  # Unix time of its start in milliseconds
         self.heartbeats = 0
         self._scope = trio.CancelScope()
         self._listen_scope = trio.CancelScope()
@@ -83,7 +87,7 @@
             "slots": 8,
             "state": self.state,
             "sequence": self.heartbeats,
-            "born": 1,
+            "born": self.born,
         }
         if self.kind:
             fields["kind"] = self.kind
@@ -354,7 +358,12 @@
         header = [(b"X-Request-Id", request_id)]
         if server.limit is not None:
             header.append((b"Server-Limit", server.limit))
+        if server.names_leaving:
+            header.append((b"Server-Leaving", b"1"))
         if fault == "full":
+            if server.retry_after is not None:
+                header.append((b"Retry-After", server.retry_after))
+            server.refused_at.append(trio.current_time())
             await exchange.respond(503, [*header, (b"X-Not-Executed", b"1")], b"")
             return
         if fault == "mute":
