Blame a server through a carrier only if others answer the carrier; count one death once

Cause: a carrier that had just lost its links itself told two origins that a server refused connections. Fix: a carrier answers 'refused' only if another server has answered it since, as a node does before it accuses a request itself. Deaths of one server within 1 s are one event, as a server that crashed is not back sooner.

--- a/basilwinch/entry/node.py
+++ b/basilwinch/entry/node.py
@@ -122,7 +122,9 @@
             clock,
             self._handle_links_changed,
         )
-        self._tunnels = TunnelListener(self._links, self._carriers, self.view, settings.ip, clock)
+        self._tunnels = TunnelListener(
+            self._links, self._monitor, self._carriers, self.view, settings.ip, clock
+        )
         self._pool = ConnectionPool(
             clock,
             _CONNECT_TIMEOUT_S,
--- a/basilwinch/suspicion/evidence.py
+++ b/basilwinch/suspicion/evidence.py
@@ -26,6 +26,7 @@
 MAX_UNPACKED_BYTES = 1 << 16
 _MAX_TEXT_CHARACTERS = 1024  # a stall names all servers of a chain, 32 at most
 _MAX_STRIKES = 64  # kept per suspect; conviction needs three at most
+_MIN_RESTART_S = 1.0  # a server that crashed is back after some seconds
 _PART_PREFIX = "part:"
 # Parts that always came together are all refused after this many events; with fewer, a request with
 # only some of them can still tell them apart.
@@ -333,10 +334,16 @@
         return {strike.server for strike in self.attributed_strikes()}
 
     def _count_events(self, strikes) -> int:
-        """Return the number of events at which strikes occurred."""
+        """Return the number of events at which strikes occurred.
+
+        Strikes for one server within the time in which it can't be back are one event, too.
+        """
         count, event_at = 0, -math.inf
-        for at in sorted(self.strikes[strike.id][1] for strike in strikes):
-            if at - event_at > self.event_s:
+        lost_at: dict[str, float] = {}
+        for at, server in sorted((self.strikes[s.id][1], s.server) for s in strikes):
+            is_new_loss = at - lost_at.get(server, -math.inf) > _MIN_RESTART_S
+            lost_at[server] = at
+            if is_new_loss and at - event_at > self.event_s:
                 count, event_at = count + 1, at
         return count
 
--- a/basilwinch/suspicion/tests/test_several_causes.py
+++ b/basilwinch/suspicion/tests/test_several_causes.py
@@ -50,6 +50,18 @@
     assert not any(is_refused(node, "r2", 12.1) for node in nodes)
 
 
+def test_one_death_that_two_nodes_report_counts_once(make_entry_registry, crash_under, exchange):
+    """Guards against refusing a request that was sent by two nodes to one server that died."""
+    nodes = [make_entry_registry(name) for name in ("n1", "n2")]
+    crash_under(nodes[0], "sound", "s1", 10.0)
+    crash_under(nodes[1], "sound", "s1", 10.2)
+    exchange(nodes, 10.25)
+    assert not any(is_refused(node, "sound", 10.3) for node in nodes)
+    crash_under(nodes[1], "sound", "s1", 14.0)
+    exchange(nodes, 14.05)
+    assert all(is_refused(node, "sound", 14.1) for node in nodes)
+
+
 def test_servers_of_a_rack_lost_at_once_accuse_no_request(
     make_entry_registry, crash_under, exchange
 ):
--- a/basilwinch/tunnel/listener.py
+++ b/basilwinch/tunnel/listener.py
@@ -33,6 +33,7 @@
     """Accepts tunnels of registered nodes and copies their bytes to and from servers.
 
     :param links: :class:`~basilwinch.tunnel.reachability.Reachability` of this node
+    :param monitor: :class:`~basilwinch.tunnel.monitor.ReachabilityMonitor` of this node
     :param carriers: :class:`~basilwinch.tunnel.carriers.Carriers`, which knows the other nodes
     :param view: :class:`~basilwinch.view.View` with the servers
     :param local_host: own IP address
@@ -41,6 +42,7 @@
 
     __slots__ = (
         "_links",
+        "_monitor",
         "_carriers",
         "_view",
         "_local_host",
@@ -51,8 +53,9 @@
         "_log",
     )
 
-    def __init__(self, links, carriers, view, local_host: str, clock):
+    def __init__(self, links, monitor, carriers, view, local_host: str, clock):
         self._links = links
+        self._monitor = monitor
         self._carriers = carriers
         self._view = view
         self._local_host = local_host
@@ -123,8 +126,19 @@
             sock = await open_socket(*entry.address, _CONNECT_TIMEOUT_S, self._local_host)
             return sock, TunnelAnswer.OK
         except ServerError:
-            timed_out = self._clock() - start >= _CONNECT_TIMEOUT_S
-            return None, TunnelAnswer.UNREACHABLE if timed_out else TunnelAnswer.REFUSED
+            return None, await self._explain_failure(start)
+
+    async def _explain_failure(self, start: float) -> TunnelAnswer:
+        """Return why a connection failed; a server is blamed only if others answer this node.
+
+        :param start: time at which the connection was tried, in seconds
+        """
+        if self._clock() - start >= _CONNECT_TIMEOUT_S:
+            return TunnelAnswer.UNREACHABLE
+        is_server_at_fault = await self._monitor.can_blame(start)
+        if self._links.is_disconnected:
+            return TunnelAnswer.DISCONNECTED
+        return TunnelAnswer.REFUSED if is_server_at_fault else TunnelAnswer.UNREACHABLE
 
     async def _copy(self, origin, server, number: int) -> None:
         """Copy in both directions until one side ends."""
--- a/basilwinch/tunnel/tests/conftest.py
+++ b/basilwinch/tunnel/tests/conftest.py
@@ -19,6 +19,16 @@
         return sock.getsockname()[1]
 
 
+class Monitor:
+    """A monitor of a carrier, to which other servers answer if ``path.others_answer``."""
+
+    def __init__(self, path):
+        self.path = path
+
+    async def can_blame(self, failed_at):
+        return self.path.others_answer
+
+
 class Path:
     """An origin that is disconnected, ``carriers`` by name, and a server that runs ``answer``.
 
@@ -36,6 +46,7 @@
         self.scopes: dict[str, trio.CancelScope] = {}
         self.carrier_links: dict[str, Reachability] = {}
         self.answer = None
+        self.others_answer = True
         self.accepted = 0
         self.closed = 0
         self.server_port = 0
@@ -78,7 +89,9 @@
         known = Carriers("a", random.Random(3))
         known.add("origin", origin_ip, "a")
         self.carrier_links[name] = Reachability()
-        listener = TunnelListener(self.carrier_links[name], known, self.view, ip, trio.current_time)
+        listener = TunnelListener(
+            self.carrier_links[name], Monitor(self), known, self.view, ip, trio.current_time
+        )
         self.listeners[name] = listener
         sockets = await trio.open_tcp_listeners(self.port, host=ip)
         self.scopes[name] = trio.CancelScope()
--- a/basilwinch/tunnel/tests/test_tunnel.py
+++ b/basilwinch/tunnel/tests/test_tunnel.py
@@ -180,6 +180,22 @@
     run_path(test)
 
 
+def test_carrier_that_reaches_no_server_itself_blames_none(run_path):
+    """Guards against requests that are refused for long because a carrier has just lost its links
+    and takes all servers for crashed."""
+
+    async def test(path):
+        path.server_port = path.port  # nothing listens there on 127.0.0.1
+        path.set_server(leaving=False)
+        path.others_answer = False
+        await path.start_carrier(1)
+        with pytest.raises(ServerError) as error:
+            await path.open()
+        assert error.value.failure.kind is TUNNEL_UNAVAILABLE
+
+    run_path(test)
+
+
 def test_carrier_opens_no_connection_to_a_server_that_leaves(run_path):
     """Guards against requests that reach a leaving server through a node that knows of it."""
 
