Drop what a server has not received of a request that was given up

Cause: a connection with an unanswered request was closed in order, so the system went on sending the bytes that a cut link held up. They reached the server when the link was back, up to 4 s after the caller had left (GONE), from this node or from the carrier of its tunnel, which closed its part in order too.

Change: a connection without a complete response, and the carrier's connection once the origin has left, are closed with a reset. Ruled out: TCP_USER_TIMEOUT, which does not end a connection that has been closed already.

The stand-in server of the tunnel tests now takes a reset as the end of a connection; what the tests assert is unchanged.

--- a/basilwinch/tunnel/connector.py
+++ b/basilwinch/tunnel/connector.py
@@ -15,7 +15,13 @@
     decode_answer,
     encode_request,
 )
-from basilwinch.wire import ServerConnection, connect, is_open_and_silent, open_socket
+from basilwinch.wire import (
+    ServerConnection,
+    connect,
+    drop_unsent_on_close,
+    is_open_and_silent,
+    open_socket,
+)
 
 __all__ = ["ServerConnector"]
 
@@ -83,6 +89,11 @@
     return not sock.has_unread and is_open_and_silent(sock.sock)
 
 
+@drop_unsent_on_close.register
+def _(sock: TunnelSocket) -> None:
+    drop_unsent_on_close(sock.sock)
+
+
 class ServerConnector:
     """Opens connections to servers, through another node while this one is disconnected.
 
--- a/basilwinch/tunnel/listener.py
+++ b/basilwinch/tunnel/listener.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import itertools
-import socket
 
 import structlog
 import trio
@@ -15,7 +14,7 @@
     decode_request,
     encode_answer,
 )
-from basilwinch.wire import open_socket, set_socket_options
+from basilwinch.wire import drop_unsent_on_close, open_socket, set_socket_options
 
 __all__ = ["TunnelListener"]
 
@@ -23,7 +22,6 @@
 _HANDSHAKE_TIMEOUT_S = 1.0
 _CONNECT_TIMEOUT_S = 0.2  # below the time that an origin waits for the answer
 _READ_CHUNK_BYTES = 32768
-_RESET_ON_CLOSE = b"\1\0\0\0\0\0\0\0"  # struct linger: on, 0 s
 # A tunnel of a stopping node that carried nothing for so long has no response in progress: servers
 # are silent for a second or so at most.
 _QUIET_S = 2.5
@@ -154,6 +152,8 @@
                 self._active[number] = self._clock()
                 if server_reads:
                     server_reads = await _try_send(server, data)
+        # What the server has not received belongs to a request that the origin has given up.
+        drop_unsent_on_close(server)
         scope.cancel()
 
     async def _copy_responses(self, server, origin, number: int, scope) -> None:
@@ -167,8 +167,7 @@
             await trio.sleep(_QUIET_S)
         except OSError:
             # Without the end frame, the origin takes the connection for broken.
-            with contextlib.suppress(OSError):
-                origin.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+            drop_unsent_on_close(origin)
         scope.cancel()
 
 
--- a/basilwinch/tunnel/tests/conftest.py
+++ b/basilwinch/tunnel/tests/conftest.py
@@ -1,5 +1,6 @@
 """Fixtures: an origin, carriers and a server on loopback addresses of their own."""
 
+import contextlib
 import random
 import socket
 
@@ -77,7 +78,9 @@
     async def _serve(self, stream) -> None:
         self.accepted += 1
         try:
-            await self.answer(stream)
+            # A carrier resets its connection when the origin leaves.
+            with contextlib.suppress(trio.BrokenResourceError):
+                await self.answer(stream)
         finally:
             self.closed += 1
             await trio.aclose_forcefully(stream)
--- a/basilwinch/tunnel/tests/test_tunnel.py
+++ b/basilwinch/tunnel/tests/test_tunnel.py
@@ -261,3 +261,29 @@
         assert path.accepted == 4
 
     run_path(test)
+
+
+def test_request_that_the_origin_gives_up_is_dropped_by_the_carrier(run_path):
+    """Guards against a request that a broken link holds up behind its carrier, and that reaches the
+    server seconds after the caller has left."""
+
+    async def test(path):
+        ends = []
+
+        async def answer(stream):
+            try:
+                await read_request(stream)
+                ends.append(await stream.receive_some())
+            except trio.BrokenResourceError:
+                ends.append("reset")
+
+        await path.start_server(answer)
+        await path.start_carrier(1)
+        connection = await path.open()
+        with trio.move_on_after(0.2):
+            await call(connection)
+        connection.close()
+        await path.wait_until(lambda: ends)
+        assert ends == ["reset"]
+
+    run_path(test)
--- a/basilwinch/wire/__init__.py
+++ b/basilwinch/wire/__init__.py
@@ -3,6 +3,7 @@
 from basilwinch.wire.client import (
     ServerConnection,
     connect,
+    drop_unsent_on_close,
     is_open_and_silent,
     open_socket,
     set_socket_options,
@@ -16,6 +17,7 @@
     "Exchange",
     "ServerConnection",
     "connect",
+    "drop_unsent_on_close",
     "is_open_and_silent",
     "open_socket",
     "set_socket_options",
--- a/basilwinch/wire/client.py
+++ b/basilwinch/wire/client.py
@@ -14,7 +14,14 @@
     ServerError,
 )
 
-__all__ = ["ServerConnection", "connect", "is_open_and_silent", "open_socket", "set_socket_options"]
+__all__ = [
+    "ServerConnection",
+    "connect",
+    "drop_unsent_on_close",
+    "is_open_and_silent",
+    "open_socket",
+    "set_socket_options",
+]
 
 _READ_CHUNK_BYTES = 65536
 _TCP_USER_TIMEOUT_MS = 3000  # a connection is closed if sent data is not acknowledged for this time
@@ -24,6 +31,9 @@
 _TCP_KEEPALIVE_IDLE_S = 2
 _TCP_KEEPALIVE_INTERVAL_S = 1
 _TCP_KEEPALIVE_PROBES = 2
+_RESET_ON_CLOSE = b"\1\0\0\0\0\0\0\0"  # struct linger: on, 0 s
+# States of a server that has not answered the request of a connection completely.
+_UNFINISHED_STATES = (h11.SEND_RESPONSE, h11.SEND_BODY, h11.ERROR)
 
 
 async def connect(
@@ -84,6 +94,17 @@
     return False
 
 
+@singledispatch
+def drop_unsent_on_close(sock) -> None:
+    """Make the next close of a socket drop all bytes that the peer has not received.
+
+    Otherwise the system goes on sending them, and bytes that a broken link holds up reach the peer
+    after the link is back, seconds later.
+    """
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+
+
 class ServerConnection:
     """One HTTP/1.1 connection to a server, for one request at a time.
 
@@ -220,7 +241,10 @@
         return is_open_and_silent(self._sock)
 
     def close(self) -> None:
-        """Close the connection."""
+        """Close the connection; a request that it has not answered yet must not reach the server
+        any more."""
+        if self._protocol.their_state in _UNFINISHED_STATES:
+            drop_unsent_on_close(self._sock)
         self._sock.close()
 
     async def _next_event(self):
--- a/basilwinch/wire/tests/test_client.py
+++ b/basilwinch/wire/tests/test_client.py
@@ -33,6 +33,9 @@
             await trio.sleep_forever()
         return len(data)
 
+    def setsockopt(self, level, option, value):
+        pass
+
     def close(self):
         self.closed = True
 
