Do not hold a lease that ended before its acquisition was known

Cause: a node that was paused, or whose store was slow, while it acquired the lease started the task without a check that the lease was still valid; another node had acquired it since, so tasks began with fencing tokens out of order. Change: the lease is checked once its acquisition is known, and released if it has ended.

--- a/basilwinch/lease/holder.py
+++ b/basilwinch/lease/holder.py
@@ -242,6 +242,11 @@
             await self._release(held)
             return None
         self._highest_fence = fence
+        if held.check(trio.current_time()) is not None:
+            # The answer came so late, or this process was paused, that another node may hold it.
+            self._log.warning("lease ended before its acquisition was known", fence=fence)
+            await self._release(held)
+            return None
         self._held = held
         self._log.info("lease acquired", fence=fence)
         return held
--- a/basilwinch/lease/tests/test_holder.py
+++ b/basilwinch/lease/tests/test_holder.py
@@ -189,6 +189,30 @@
     assert [server.stale_orders for server in servers] == [0, 0]
 
 
+PAUSES_WHILE_ACQUIRING = [(0, "pause", 0, 0.5)] * 6 + [
+    (0.4, "pause", 0, 0.5),
+    (0, "slow", 0, 4),
+    (0, "slow", 0, 30),
+    (0, "pause", 2, 9),
+]
+
+
+@pytest.mark.parametrize("seed", range(0, 60, 5))
+def test_a_lease_that_ended_during_its_acquisition_is_not_held(seed):
+    """Guards against a node that was paused while it acquired the lease, and starts the task of a
+    lease that another node has acquired since."""
+    scheduler_rng = trio._core._run._r
+    state = scheduler_rng.getstate()
+    scheduler_rng.seed(seed)
+    try:
+        _, servers, nodes = run(PAUSES_WHILE_ACQUIRING)
+    finally:
+        scheduler_rng.setstate(state)
+    fences = [fence for _, fence in sorted(grant for node in nodes for grant in node.grants)]
+    assert fences == sorted(set(fences))
+    assert [server.stale_orders for server in servers] == [0, 0]
+
+
 def test_an_order_that_leaves_late_does_not_meet_a_new_holder():
     """Guards against orders to a server without fencing while old orders may take effect."""
     for wait, fault in itertools.product((20.0, 20.7, 21.3), DELAYED_ORDER_FAULTS):
