Read the store through two nodes of each zone

Cause: each node watched the store, checked its revision and read the layout lease for itself, so each change woke all of them.

Change: the package fanout. Nodes choose the first two of their zone, by a hash of the names, as readers; the others ask one of them for changes and for the position up to which it is complete, with its age, over the port of the tunnels. The asking node counts the age from before its question, so a frozen reader or a delayed answer never confirms a view. A reader is used only after the store itself was read, and again whenever its process or the history of the store changes. Readers that are silent, cut off from the store or gone are left out for 4 s, and the store is read directly. A registration says whether a node answers reads; nodes of the version before are not asked. The lease of the layout controller is not read while the node knows its holder, and readers compete first.

Weighed: stale reads at a tenth of the price (their age is not bounded), longer pauses on all nodes (withdrawn keys and leaving servers would take longer), one reader per zone (its loss would send a whole zone to the store).

The window in which entries that expired during an outage are awaited grows from 1.2 to 1.6 s, as events may come through a reader. A test of restores set only one of two times of the last read, and a report of the peer could undo that; it sets both now. Tests take ports below the range of outgoing connections, which had taken one of them in between (address already in use, twice).

--- a/basilwinch/entry/node.py
+++ b/basilwinch/entry/node.py
@@ -14,6 +14,10 @@
 from basilwinch.entry.metrics import Metrics
 from basilwinch.entry.settings import EntrySettings
 from basilwinch.exception import DRAINING
+from basilwinch.fanout import FanoutStore, Readers, ReaderServer
+from basilwinch.fanout.client import ReaderClient
+from basilwinch.fanout.message import READ_PROTOCOL_LINE
+from basilwinch.fanout.shared_reads import SharedReads
 from basilwinch.forward.budget import RetryBudget
 from basilwinch.forward.components import Components
 from basilwinch.forward.crashes import FIRST_EVENTS, CrashAttribution
@@ -79,6 +83,9 @@
 _LEASE_TTL_S = 4.0
 # The layout controller stops this long before its lease ends; covers a slow answer of the store.
 _LEASE_MARGIN_S = 1.0
+# A node that learns of changes through others leaves a free lease to them for this time; they take
+# it within a second.
+_INDIRECT_LEASE_DELAY_S = 2.0
 # A connection is closed if sent data stays unacknowledged for this long; callers abandon a silent
 # response sooner.
 _TCP_USER_TIMEOUT_MS = 5000
@@ -132,6 +139,15 @@
             _MAX_IDLE_CONNECTIONS,
             self._connector.open,
         )
+        self._readers = Readers(settings.name, settings.zone)
+        reads = SharedReads(
+            store.history, f"{settings.name}-{rng.getrandbits(64):016x}", read_boot_clock
+        )
+        reader_client = ReaderClient(
+            self._readers, settings.ip, settings.peer_port, read_boot_clock
+        )
+        source = source.replace_store(FanoutStore(store, self._readers, reader_client, reads))
+        self._tunnels.protocols[READ_PROTOCOL_LINE] = ReaderServer(reads).serve
         self._store = SharedWatchStore(store)
         self._suspects = SuspectRegistry(
             SuspectConfig(
@@ -161,6 +177,7 @@
             rng,
             settings.zone,
             self._carriers,
+            self._readers,
         )
         self.view.set_peers(self._peers.count_peers, self._peers.request_full_report)
         self._convictions = ConvictionRecords(self._suspects, self._store, rng)
@@ -211,6 +228,8 @@
         )
         config = LeaseConfig("layout", settings.name, _LEASE_TTL_S, _LEASE_MARGIN_S, 0.0)
         self._lease = LeaseHolder.from_config(config, self._store, rng)
+        self._lease.is_known_held = lambda: self._lease.key in self._store_watcher.node_keys
+        self._lease.get_delay_s = self._get_lease_delay
 
     @classmethod
     def from_config(cls, settings, store, source: ViewSource, dialect, seed: int) -> "EntryNode":
@@ -351,6 +370,10 @@
         elif key.startswith(LAYOUT_PREFIX):
             self._chain_selection.apply(key.removeprefix(LAYOUT_PREFIX), value)
 
+    def _get_lease_delay(self) -> float:
+        """Return how long this node leaves a free lease to the readers of the store."""
+        return 0.0 if self._readers.is_reader else _INDIRECT_LEASE_DELAY_S
+
     def _count_nodes(self) -> int:
         return self._peers.node_count
 
@@ -362,7 +385,7 @@
         while True:
             await trio.sleep(_MAINTENANCE_INTERVAL_S)
             self._pool.close_expired()
-            self._store_watcher.set_nodes(self._peers.node_count)
+            self._store_watcher.set_nodes(self._peers.node_count, self._readers.count_reading())
             self.load.prune(self.view.servers)
             self._server_selection.prune(self.view.servers)
             self._member_probe.prune(self.view.servers)
--- /dev/null
+++ b/basilwinch/fanout/readers.py
@@ -0,0 +1,111 @@
+"""Choice of the nodes that read the store for their availability zone, without I/O."""
+
+import bisect
+import zlib
+
+__all__ = ["Readers"]
+
+# The second one serves when the first fails; both read the store all the time.
+_READERS_PER_ZONE = 2
+# A reader that did not answer is left out for this long; most are back, or replaced, by then.
+_AVOID_S = 4.0
+
+
+class _Node:
+    """What is known of another node; ``avoid_until`` is a time in seconds."""
+
+    __slots__ = ("ip", "zone", "is_able", "avoid_until")
+
+    def __init__(self, ip: str, zone: str, is_able: bool):
+        self.ip = ip
+        self.zone = zone
+        self.is_able = is_able
+        self.avoid_until = float("-inf")
+
+
+class Readers:
+    """The registered nodes, and which of them are readers.
+
+    The readers of a zone are those nodes that come first in an order by a hash of their names, so
+    all nodes choose the same ones without an exchange. Nodes that are not able to answer others,
+    such as those of an older version, read the store for themselves.
+
+    :param name: name of this node
+    :param zone: availability zone of this node
+
+    >>> readers = Readers("n1", "a")
+    >>> for number in range(2, 6):
+    ...     readers.add(f"n{number}", f"10.0.0.{number}", "a", True)
+    >>> readers.is_reader, readers.choose(0.0), readers.count_reading()
+    (False, 'n3', 2)
+    """
+
+    __slots__ = ("_name", "_zone", "_nodes", "_order")
+
+    def __init__(self, name: str, zone: str):
+        self._name = name
+        self._zone = zone
+        self._nodes: dict[str, _Node] = {}
+        # Hash and name of the nodes of this zone that are able to read for others, in order.
+        self._order: list[tuple[int, str]] = [_rank(name)]
+
+    def add(self, name: str, ip: str, zone: str, is_able: bool) -> None:
+        """Add a node, or change what is known of it.
+
+        :param is_able: whether it answers reads of other nodes
+        """
+        self.remove(name)
+        self._nodes[name] = _Node(ip, zone, is_able)
+        if is_able and zone == self._zone:
+            bisect.insort(self._order, _rank(name))
+
+    def remove(self, name: str) -> None:
+        """Remove a node that is no longer registered."""
+        node = self._nodes.pop(name, None)
+        if node is not None and node.is_able and node.zone == self._zone:
+            self._order.remove(_rank(name))
+
+    @property
+    def is_reader(self) -> bool:
+        """Whether this node reads the store for others of its zone."""
+        return self._name in self._list_readers()
+
+    def choose(self, now: float) -> str | None:
+        """Return the reader that this node asks, or None if it must read the store itself.
+
+        Nodes spread over the readers of their zone by a hash of their names.
+
+        :param now: current time, in seconds
+        """
+        names = self._list_readers()
+        if self._name in names:
+            return None
+        usable = [name for name in names if now >= self._nodes[name].avoid_until]
+        return usable[_rank(self._name)[0] % len(usable)] if usable else None
+
+    def get_ip(self, name: str) -> str:
+        """Return the address of a node."""
+        return self._nodes[name].ip
+
+    def avoid(self, name: str, now: float) -> None:
+        """Leave out a reader that did not answer, for a while."""
+        if name in self._nodes:
+            self._nodes[name].avoid_until = now + _AVOID_S
+
+    def count_reading(self) -> int:
+        """Return the number of nodes that read the store themselves. Linear in the nodes."""
+        able: dict[str, int] = {self._zone: 1}
+        unable = 0
+        for node in self._nodes.values():
+            if node.is_able:
+                able[node.zone] = able.get(node.zone, 0) + 1
+            else:
+                unable += 1
+        return unable + sum(min(count, _READERS_PER_ZONE) for count in able.values())
+
+    def _list_readers(self) -> list[str]:
+        return [name for _, name in self._order[:_READERS_PER_ZONE]]
+
+
+def _rank(name: str) -> tuple[int, str]:
+    return zlib.crc32(name.encode()), name
--- a/basilwinch/lease/holder.py
+++ b/basilwinch/lease/holder.py
@@ -145,6 +145,11 @@
     (:meth:`record_fence`). A store that names its era raises them by that alone, also above those
     of holders that this node has never heard of.
 
+    ``is_known_held`` is a function without arguments that returns whether this node knows, without
+    a call, of a holder; a node that knows of one reads nothing. ``get_delay_s`` returns the seconds
+    that this node leaves to others when the lease is free, so that not all nodes of a large fleet
+    compete. ``key`` is the key of the lease on the platform.
+
     :param config: :class:`LeaseConfig`
     :param store: key-value service
     :param rng: :class:`random.Random` for ids and delays
@@ -154,7 +159,9 @@
         self._config = config
         self._store = store
         self._rng = rng
-        self._key = f"{LEASE_KEY_PREFIX}{config.name}/holder"
+        self.is_known_held = lambda: False
+        self.get_delay_s = lambda: 0.0
+        self.key = f"{LEASE_KEY_PREFIX}{config.name}/holder"
         self._fence_base_key = f"{LEASE_KEY_PREFIX}{config.name}/base"
         self._highest_fence = 0
         self._held: HeldLease | None = None
@@ -209,7 +216,9 @@
         # The holder of a lease that a restore has lost may not have noticed yet.
         while trio.current_time() < history.began_at + self._config.ttl_s:
             await trio.sleep_until(history.began_at + self._config.ttl_s)
-        if await self._store.get(self._key) is not None:
+        if delay_s := self.get_delay_s():
+            await trio.sleep(delay_s)
+        if self.is_known_held() or await self._store.get(self.key) is not None:
             return None
         fence_base = await self._read_fence_base()
         # Taken before the call: the time to live on the platform starts later, so valid_until is
@@ -218,15 +227,15 @@
         grant = await self._store.grant(self._config.ttl_s)
         token = f"{self._rng.getrandbits(64):016x}"
         value = json.dumps({"owner": self._config.owner, "token": token}).encode()
-        compares = [Compare(self._key, 0), Compare(self._fence_base_key, fence_base.mod_revision)]
-        put = KeyValue(self._key, value, 0, grant.lease)
+        compares = [Compare(self.key, 0), Compare(self._fence_base_key, fence_base.mod_revision)]
+        put = KeyValue(self.key, value, 0, grant.lease)
         try:
             result = await self._store.transact(compares, [put])
             revision = result.revision if result.succeeded else 0
         except PlatformError as error:
             if error.failure.kind is not PLATFORM_AMBIGUOUS:
                 raise
-            found = await self._store.get(self._key)
+            found = await self._store.get(self.key)
             revision = found.mod_revision if found and found.value == value else 0
         if not revision:
             return None
@@ -235,7 +244,7 @@
         valid_until = started_at + ttl_s - self._config.margin_s
         wait_s = self._config.ttl_s + self._config.longest_order_s
         unfenced_from = trio.current_time() + wait_s
-        condition = Compare(self._key, revision)
+        condition = Compare(self.key, revision)
         held = HeldLease(fence, valid_until, unfenced_from, history, grant.lease, value, condition)
         if fence <= self._highest_fence:
             await self._raise_fence_base(fence_base, fence)
@@ -321,7 +330,7 @@
         Its id may have been given to another node, so the value of its key decides.
         """
         asked_in = self._store.history.number
-        found = await self._store.get(self._key)
+        found = await self._store.get(self.key)
         is_own = found is not None and found.value == held.value
         if is_own:
             held.record_found(asked_in, found)
@@ -350,8 +359,8 @@
         """
         wait_s = self._config.ttl_s * self._rng.uniform(2, 4)
         with trio.move_on_after(wait_s) as self._wait_scope:
-            async with self._store.watch(self._key) as events:
-                if await self._store.get(self._key) is None:
+            async with self._store.watch(self.key) as events:
+                if not self.is_known_held() and await self._store.get(self.key) is None:
                     return
                 async for event in events:
                     if event.value is None:
--- a/basilwinch/lease/tests/test_holder.py
+++ b/basilwinch/lease/tests/test_holder.py
@@ -11,7 +11,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, rule
 
 from basilwinch.lease import LeaseConfig, LeaseHolder
-from basilwinch.standin import MemoryKeyValueStore
+from basilwinch.standin import MemoryKeyValueStore, run_virtual
 
 TTL_S, MARGIN_S, LONGEST_ORDER_S = 10.0, 2.0, 5.0
 RUN_S = 300.0
@@ -201,13 +201,7 @@
 def test_a_lease_that_ended_during_its_acquisition_is_not_held(seed):
     """Guards against a node that was paused while it acquired the lease, and starts the task of a
     lease that another node has acquired since."""
-    scheduler_rng = trio._core._run._r
-    state = scheduler_rng.getstate()
-    scheduler_rng.seed(seed)
-    try:
-        _, servers, nodes = run(PAUSES_WHILE_ACQUIRING)
-    finally:
-        scheduler_rng.setstate(state)
+    _, servers, nodes = run_virtual(simulate, PAUSES_WHILE_ACQUIRING, seed=seed)
     fences = [fence for _, fence in sorted(grant for node in nodes for grant in node.grants)]
     assert fences == sorted(set(fences))
     assert [server.stale_orders for server in servers] == [0, 0]
--- a/basilwinch/peers/exchange.py
+++ b/basilwinch/peers/exchange.py
@@ -28,6 +28,7 @@
 # writes that a small store takes.
 _FLEET_CHECKS_PER_S = 200.0
 _MAX_DATAGRAM_BYTES = 65535
+_READS_VERSION = 1  # of the protocol in which a node reads the store for others
 
 
 class PeerExchange:
@@ -44,6 +45,7 @@
     :param rng: random number generator for the jitter of renewals
     :param zone: availability zone of this node
     :param carriers: :class:`~basilwinch.tunnel.Carriers`, which is told of the other nodes
+    :param readers: :class:`~basilwinch.fanout.Readers`, which is told of them too
     """
 
     __slots__ = (
@@ -57,6 +59,7 @@
         "_server_limits",
         "_view",
         "_carriers",
+        "_readers",
         "_must_send",
         "_peers",
         "_sequence",
@@ -68,7 +71,19 @@
     )
 
     def __init__(
-        self, name, ip, port, store, load, suspects, server_limits, view, rng, zone, carriers
+        self,
+        name,
+        ip,
+        port,
+        store,
+        load,
+        suspects,
+        server_limits,
+        view,
+        rng,
+        zone,
+        carriers,
+        readers,
     ):
         self._name = name
         self._ip = ip
@@ -80,6 +95,7 @@
         self._view = view
         self._zone = zone
         self._carriers = carriers
+        self._readers = readers
         self._must_send = False
         self._rng = rng
         self._sequence = 0
@@ -112,15 +128,18 @@
         if value is None:
             self._peers.pop(name, None)
             self._carriers.remove(name)
+            self._readers.remove(name)
             self._server_limits.forget_node(name)
             return
         try:
             if name not in self._peers:
                 self.request_full_report()
             registration = json.loads(value)
-            self._peers[name] = registration["ip"]
-            # Nodes of older versions name no zone.
-            self._carriers.add(name, registration["ip"], registration.get("zone", ""))
+            self._peers[name] = ip = registration["ip"]
+            # Nodes of older versions name no zone, or do not read the store for others.
+            zone = registration.get("zone", "")
+            self._carriers.add(name, ip, zone)
+            self._readers.add(name, ip, zone, registration.get("reads") == _READS_VERSION)
         except (ValueError, KeyError, TypeError, AttributeError) as error:
             self._log.warning("node registration malformed", node=name, error=repr(error))
 
@@ -158,7 +177,8 @@
 
     @property
     def _registration(self) -> bytes:
-        return json.dumps({"ip": self._ip, "zone": self._zone}).encode()
+        fields = {"ip": self._ip, "zone": self._zone, "reads": _READS_VERSION}
+        return json.dumps(fields).encode()
 
     async def _find_lease(self) -> int | None:
         """Return the lease of this node's registration in the store, None if it must register."""
--- a/basilwinch/platform/store.py
+++ b/basilwinch/platform/store.py
@@ -17,8 +17,8 @@
     PlatformError,
     ServerError,
 )
-from basilwinch.record import Record
 from basilwinch.store import (
+    Changes,
     KeyValue,
     LeaseGrant,
     Page,
@@ -29,7 +29,7 @@
 )
 from basilwinch.wire import ConnectionPool
 
-__all__ = ["Changes", "MetadataStore"]
+__all__ = ["MetadataStore"]
 
 _CALL_TIMEOUT_S = 1.5  # the store answers in 4 ms, at times up to 100 times slower
 _WATCH_MARGIN_S = 0.6  # added to the wait of a watch, for an answer 100 times slower than usual
@@ -42,12 +42,6 @@
 _MAX_ERA_CHARACTERS = 9  # a number of so many digits still fits a fencing token
 
 
-class Changes(Record):
-    """Events of a watch, complete up to a :class:`~basilwinch.store.Position`."""
-
-    __slots__ = ("events", "position")
-
-
 class MetadataStore:
     """A client over HTTP/1.1.
 
--- a/basilwinch/platform/tests/conftest.py
+++ b/basilwinch/platform/tests/conftest.py
@@ -1,7 +1,6 @@
 """Fixtures: an entry node connected to the stand-in platform."""
 
 import contextlib
-import socket
 
 import pytest
 import trio
@@ -13,6 +12,7 @@
 from basilwinch.platform.documents import CONFIGURATION_KEY, SERVERS_PREFIX
 from basilwinch.platform.tests.site import make_configuration
 from basilwinch.platform.tests.standin import StandinPlatform
+from basilwinch.standin.port import find_free_port
 from basilwinch.view.source import ViewSource
 from basilwinch.wire import connect
 
@@ -24,12 +24,6 @@
     return make_configuration() | {"tenants": [{"name": "org", "api-keys": [KEY]}]}
 
 
-def find_free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
-
-
 class Site:
     """A running node with its stand-in platform."""
 
--- a/basilwinch/platform/tests/test_restore.py
+++ b/basilwinch/platform/tests/test_restore.py
@@ -273,7 +273,8 @@
         await site.wait_until(lambda: site.node._peers.count_peers() == 1)
         peer = Peer(site, 9)
         site.nursery.start_soon(peer.run)
-        site.node.view.confirmed_at = float("-inf")
+        # As after a start; a report of the peer would otherwise accept what was read before.
+        site.node.view.confirmed_at = site.node.view._read_at = float("-inf")
         site.platform.restore(site.platform.copy())
         await site.wait_until(lambda: peer.asked)
         await trio.sleep(1.2)
--- a/basilwinch/platform/tests/test_tunnels.py
+++ b/basilwinch/platform/tests/test_tunnels.py
@@ -4,7 +4,8 @@
 import trio
 
 from basilwinch.exception import ServerError
-from basilwinch.platform.tests.conftest import Site, find_free_port, start_node
+from basilwinch.platform.tests.conftest import Site, start_node
+from basilwinch.standin.port import find_free_port
 
 HOSTS = ["127.0.0.41", "127.0.0.42", "127.0.0.43"]
 STREAM_BODY = b"".join(b"id: %d\ndata: token\n\n" % number for number in range(1, 7))
--- a/basilwinch/store/__init__.py
+++ b/basilwinch/store/__init__.py
@@ -6,11 +6,13 @@
 
 from basilwinch.store.history import Position, StoreHistory
 from basilwinch.store.interface import (
+    Changes,
     Compare,
     KeyValue,
     KeyValueStore,
     LeaseGrant,
     Page,
+    Proof,
     Transaction,
     VmEntry,
     VmList,
@@ -20,12 +22,14 @@
 )
 
 __all__ = [
+    "Changes",
     "Compare",
     "KeyValue",
     "KeyValueStore",
     "LeaseGrant",
     "Page",
     "Position",
+    "Proof",
     "StoreHistory",
     "Transaction",
     "VmEntry",
--- a/basilwinch/store/history.py
+++ b/basilwinch/store/history.py
@@ -60,6 +60,11 @@
         """Number of the era that the last answers named, 0 if they named none."""
         return self._era if isinstance(self._era, int) else 0
 
+    @property
+    def label(self) -> str:
+        """Era that the last answers named, as text, empty if they named none."""
+        return "" if self._era is None else str(self._era)
+
     def observe(self, era: int | str | None, asked_in: int) -> bool:
         """Take note of the era that an answer names.
 
--- a/basilwinch/store/interface.py
+++ b/basilwinch/store/interface.py
@@ -9,11 +9,13 @@
 from basilwinch.store.history import StoreHistory
 
 __all__ = [
+    "Changes",
     "Compare",
     "KeyValue",
     "KeyValueStore",
     "LeaseGrant",
     "Page",
+    "Proof",
     "Transaction",
     "VmEntry",
     "VmList",
@@ -60,6 +62,25 @@
     __slots__ = ("key", "value", "mod_revision")
 
 
+class Changes(Record):
+    """Events of a watch, complete up to a :class:`~basilwinch.store.Position`."""
+
+    __slots__ = ("events", "position")
+
+
+class Proof(Record):
+    """What shows up to which point a view of the store is complete.
+
+    :param position: :class:`~basilwinch.store.Position` of the store
+    :param age_s: seconds between the query of the position and the call that returned this
+    :param is_direct: whether the store itself was asked, so that a lower revision than before shows
+        a restore
+    """
+
+    __slots__ = ("position", "age_s", "is_direct")
+    _defaults = {"age_s": 0.0, "is_direct": True}
+
+
 class VmState(enum.StrEnum):
     """State of a VM in the platform's list."""
 
--- a/basilwinch/tunnel/listener.py
+++ b/basilwinch/tunnel/listener.py
@@ -30,6 +30,9 @@
 class TunnelListener:
     """Accepts tunnels of registered nodes and copies their bytes to and from servers.
 
+    Other protocols between nodes share its port. ``protocols`` has, by the first line that names
+    one, an async function of the socket after that line and the IP address of the other node.
+
     :param links: :class:`~basilwinch.tunnel.reachability.Reachability` of this node
     :param monitor: :class:`~basilwinch.tunnel.monitor.ReachabilityMonitor` of this node
     :param carriers: :class:`~basilwinch.tunnel.carriers.Carriers`, which knows the other nodes
@@ -48,6 +51,7 @@
         "_active",
         "_numbers",
         "_stopping",
+        "protocols",
         "_log",
     )
 
@@ -62,6 +66,7 @@
         self._active: dict[int, float] = {}
         self._numbers = itertools.count(1)
         self._stopping = False
+        self.protocols = {}
         self._log = structlog.get_logger("tunnel")
 
     def count_tunnels(self) -> int:
@@ -92,6 +97,9 @@
         line = b""
         with trio.move_on_after(_HANDSHAKE_TIMEOUT_S):
             line = await _receive_line(origin)
+        if line in self.protocols:
+            await self.protocols[line](origin, peer)
+            return
         request = decode_request(line)
         if request is None:
             self._log.warning("tunnel request malformed", peer=peer, line=line[:80])
--- a/basilwinch/tunnel/tests/conftest.py
+++ b/basilwinch/tunnel/tests/conftest.py
@@ -2,11 +2,11 @@
 
 import contextlib
 import random
-import socket
 
 import pytest
 import trio
 
+from basilwinch.standin.port import find_free_port
 from basilwinch.tunnel import Carriers, Reachability, ServerConnector, TunnelListener
 from basilwinch.view import View
 from basilwinch.view.server import ServerEntry
@@ -14,12 +14,6 @@
 ORIGIN_IP = "127.0.0.20"
 
 
-def find_free_port(host: str) -> int:
-    with socket.socket() as sock:
-        sock.bind((host, 0))
-        return sock.getsockname()[1]
-
-
 class Monitor:
     """A monitor of a carrier, to which other servers answer if ``path.others_answer``."""
 
--- a/basilwinch/view/node_keys.py
+++ b/basilwinch/view/node_keys.py
@@ -27,6 +27,9 @@
     def __len__(self):
         return len(self._keys)
 
+    def __contains__(self, key):
+        return key in self._keys
+
     def apply(self, key: str, value: bytes | None, revision: int) -> None:
         """Report a change.
 
--- a/basilwinch/view/tests/standin.py
+++ b/basilwinch/view/tests/standin.py
@@ -8,7 +8,7 @@
     PLATFORM_UNAVAILABLE,
     PlatformError,
 )
-from basilwinch.store import KeyValue, Page, Position, StoreHistory, WatchEvent
+from basilwinch.store import KeyValue, Page, Position, Proof, StoreHistory, WatchEvent
 from basilwinch.view import Configuration, ServerEntry
 from basilwinch.view.source import ViewSource
 
@@ -105,6 +105,16 @@
         self._answer()
         return self._read_position(asked_in)
 
+    async def read_proof(self):
+        return Proof(await self.read_position())
+
+    def record_confirmed(self, position, asked_at):
+        pass
+
+    @property
+    def is_direct(self):
+        return True
+
     async def poll(self, prefix, after, wait_s):
         self.polls += 1
         await trio.sleep(self.latency_s)
--- a/basilwinch/view/tests/test_restore.py
+++ b/basilwinch/view/tests/test_restore.py
@@ -37,7 +37,7 @@
     delays = []
 
     async def test(store, view, watcher):
-        watcher.set_nodes(_FLEET_NODES)
+        watcher.set_nodes(_FLEET_NODES, _FLEET_NODES)
         copy = store.copy()
         await trio.sleep(3.0)
         store.scans.clear()
--- a/basilwinch/view/watcher.py
+++ b/basilwinch/view/watcher.py
@@ -4,7 +4,7 @@
 import trio
 
 from basilwinch.exception import HISTORY_COMPACTED, HISTORY_FORKED, PlatformError
-from basilwinch.store import Position
+from basilwinch.store import Position, Proof
 from basilwinch.view.departed import DepartedServers
 from basilwinch.view.node_keys import NodeKeys
 from basilwinch.view.source import ViewSource
@@ -18,10 +18,13 @@
 # Interval between queries of the store's revision. Together with a slow answer it uses less than
 # half of the time after which keys are refused; the rest is left for an outage of the store.
 _MIN_CHECK_INTERVAL_S = 1.3
-# In a large fleet nodes check less often, since the store's capacity grows more slowly than the
+# If many nodes read the store they check less often, since its capacity grows more slowly than the
 # fleet.
 _MAX_CHECK_INTERVAL_S = 2.4
 _FLEET_CHECKS_PER_S = 30.0  # of all nodes together, until the maximum interval is reached
+# A node that asks a reader costs the store nothing. The answer is up to a check interval of the
+# reader old, so that both together must stay below the age at which a node is not ready.
+_INDIRECT_CHECK_INTERVAL_S = 0.6
 # Interval after a failed check, since keys may be refused until one succeeds; also while servers
 # may register again.
 _CHECK_RETRY_S = 0.5
@@ -29,16 +32,17 @@
 # store takes up to 0.4 s.
 _OPEN_CONNECTION_TIMEOUT_S = 0.6
 _CATCH_UP_MARGIN_S = 0.2  # after the batch pause, for the watch to deliver what a check has shown
-# Pause after changes, so that a series of them takes few calls. In a large fleet each node waits
-# longer, since a change makes all of them call the store.
+# Pause after changes, so that a series of them takes few calls. If many nodes read the store each
+# waits longer, since a change makes all of them call it.
 _MIN_BATCH_PAUSE_S = 0.25
 _MAX_BATCH_PAUSE_S = 0.7
 _BATCH_PAUSE_PER_NODE_S = 0.01
+_INDIRECT_BATCH_PAUSE_S = 0.1  # of a node that asks a reader, which has paused already
 # Servers whose entries expired during an outage of the store register again within this time.
 _REREGISTER_TIMEOUT_S = 2.0
 # After an outage of the store, the watch reports the entries that expired during it within this
-# time; covers the maximum retry pause.
-_EXPIRY_EVENT_WINDOW_S = 1.2
+# time; covers the maximum retry pause, and the pause of a reader after changes.
+_EXPIRY_EVENT_WINDOW_S = 1.6
 # After a restore each node reads all keys again. The reads are spread so that all nodes together
 # make this many calls, half of what a small store takes.
 _FLEET_READS_PER_S = 1000.0
@@ -112,14 +116,18 @@
         self._batch_pause_s = _MIN_BATCH_PAUSE_S
         source.store.history.subscribe(self._begin_history)
 
-    def set_nodes(self, nodes: int) -> None:
-        """Adapt check interval, batch pause and spread of reads to the number of nodes."""
+    def set_nodes(self, nodes: int, reading: int) -> None:
+        """Adapt check interval, batch pause and spread of reads to the size of the fleet.
+
+        :param nodes: number of nodes
+        :param reading: number of nodes that watch the store themselves
+        """
         self._nodes = nodes
         self.check_interval_s = min(
-            _MAX_CHECK_INTERVAL_S, max(_MIN_CHECK_INTERVAL_S, nodes / _FLEET_CHECKS_PER_S)
+            _MAX_CHECK_INTERVAL_S, max(_MIN_CHECK_INTERVAL_S, reading / _FLEET_CHECKS_PER_S)
         )
         self._batch_pause_s = min(
-            _MAX_BATCH_PAUSE_S, max(_MIN_BATCH_PAUSE_S, nodes * _BATCH_PAUSE_PER_NODE_S)
+            _MAX_BATCH_PAUSE_S, max(_MIN_BATCH_PAUSE_S, reading * _BATCH_PAUSE_PER_NODE_S)
         )
 
     async def run(self) -> None:
@@ -144,7 +152,7 @@
                     changed = await self._read_changes(self._position)
                     self._mark_reachable()
                     pause = _MIN_RETRY_PAUSE_S
-                    await trio.sleep(self._batch_pause_s if changed else 0)
+                    await trio.sleep(self._choose_batch_pause() if changed else 0)
             except PlatformError as error:
                 if error.failure.kind in (HISTORY_COMPACTED, HISTORY_FORKED):
                     self._log.warning(
@@ -190,24 +198,27 @@
         while True:
             await trio.sleep(pause * self._rng.uniform(0.8, 1.0))
             # While servers may register again, check more often to remove them in time.
-            pause = _CHECK_RETRY_S if self._remove_at else self.check_interval_s
+            pause = _CHECK_RETRY_S if self._remove_at else self._choose_check_interval()
             self._remove_expired()
             applied = self._position
             if applied is None:
                 continue
             try:
-                asked_at, position = await self._query_position()
+                asked_at, proof = await self._query_position()
             except PlatformError as error:
                 self._mark_unreachable(error)
                 pause = _CHECK_RETRY_S
                 continue
             self._mark_reachable()
-            if self._has_fallen(applied, position) or position.history != self._history.number:
+            position = proof.position
+            if proof.is_direct and self._has_fallen(applied, position):
+                continue
+            if position.history != self._history.number:
                 continue
             if not self._has_applied(position):
-                await trio.sleep(self._batch_pause_s + _CATCH_UP_MARGIN_S)
+                await trio.sleep(self._choose_batch_pause() + _CATCH_UP_MARGIN_S)
             if self._has_applied(position):
-                self._view.confirm(asked_at)
+                self._confirm(position, asked_at)
             elif position.history == self._history.number:
                 self._log.warning(
                     "watch missed changes, reading all keys again",
@@ -217,8 +228,21 @@
                 self._position = None
                 self._watch_scope.cancel()
 
-    async def _query_position(self) -> tuple[float, Position]:
-        """Return the position of the store, and the time at which it was asked for.
+    def _choose_check_interval(self) -> float:
+        is_direct = self._source.store.is_direct
+        return self.check_interval_s if is_direct else _INDIRECT_CHECK_INTERVAL_S
+
+    def _choose_batch_pause(self) -> float:
+        is_direct = self._source.store.is_direct
+        return self._batch_pause_s if is_direct else _INDIRECT_BATCH_PAUSE_S
+
+    def _confirm(self, position: Position, asked_at: float) -> None:
+        """Record that all changes up to a position, asked for at a time, are applied."""
+        self._source.store.record_confirmed(position, asked_at)
+        self._view.confirm(asked_at)
+
+    async def _query_position(self) -> tuple[float, Proof]:
+        """Return a position of the store, and a time at which the store had it or a lower one.
 
         If an open connection does not answer soon, a new one is tried. If that one answers soon,
         the store is not slow but the open connections are dead, so the watch needs a new one too.
@@ -226,14 +250,15 @@
         store = self._source.store
         asked_at = self._clock()
         with trio.move_on_after(_OPEN_CONNECTION_TIMEOUT_S):
-            return asked_at, await store.read_position()
+            proof = await store.read_proof()
+            return asked_at - proof.age_s, proof
         store.close_idle_connections()
         asked_at = self._clock()
-        position = await store.read_position()
+        proof = await store.read_proof()
         if self._clock() - asked_at < _OPEN_CONNECTION_TIMEOUT_S:
             self._log.warning("open connections to the store do not answer, watching on a new one")
             self._watch_scope.cancel()
-        return asked_at, position
+        return asked_at - proof.age_s, proof
 
     def _has_fallen(self, before: Position | None, after: Position) -> bool:
         """Return whether the store's revision has fallen; if so, a history begins.
@@ -280,7 +305,7 @@
         self._remove_unlisted(listed, start.revision)
         self._position = self._highest = start
         self._reread_at = float("inf")
-        self._view.confirm(asked_at)
+        self._confirm(start, asked_at)
 
     async def _read_changes(self, after: Position) -> bool:
         """Apply the next changes, and return whether there were any.
