--- a/basilwinch/fanout/tests/test_store.py
+++ b/basilwinch/fanout/tests/test_store.py
@@ -8,7 +8,7 @@
 import pytest
 import trio
 
-from basilwinch.fanout import FanoutStore, ReaderServer, Readers
+from basilwinch.fanout import FanoutStore, Readers, ReaderServer
 from basilwinch.fanout.client import ReaderClient
 from basilwinch.fanout.message import READ_PROTOCOL_LINE
 from basilwinch.fanout.shared_reads import SharedReads
@@ -45,7 +45,7 @@
 
 
 class Node:
-    """A node with its watcher; ``pause`` stops its answers to other nodes, ``offset_s`` its clock."""
+    """A node with its watcher; ``is_paused`` stops its answers, ``offset_s`` moves its clock."""
 
     def __init__(self, shared: Store, number: int, port: int):
         self.name, self.ip = f"n{number}", f"127.0.0.{50 + number}"
