Gather the load of a zone before it is told to other zones

Cause: each node sent its load to each other one, 60 datagrams a second in all.

Change: with more than 30 peers a node tells its load to its own zone. The two readers of a zone add it up for the readers of the other zones, which pass it on with its age. What must reach all nodes (suspects, avoided servers, lost links, server limits) goes to all nodes as before. A node that hears of no gatherer for 3 s reports to all nodes itself, as it does to nodes of an older version. The choice between the fastest path and a random chain now goes by the number of nodes, which the interval stood for.

Records and messages are read with unknown further values, in the layout and the suspects too, so that one added value does not lose a whole record. What the version in production wrote is kept as a fixture and read in both directions (test_compatibility.py).

--- a/basilwinch/chains/chain_selection.py
+++ b/basilwinch/chains/chain_selection.py
@@ -4,13 +4,13 @@
 its memory and leave other chains idle.
 """
 
-import json
-
 import structlog
 
 from basilwinch.chains.layout import ChainMember
 from basilwinch.chains.path import Path, Stage
+from basilwinch.chains.record import decode_layout
 from basilwinch.chains.zone_link import count_crossings
+from basilwinch.exception import Failure
 
 __all__ = ["ChainSelection"]
 
@@ -38,15 +38,15 @@
         if value is None:
             self._layouts.pop(service, None)
             return
-        try:
-            rows = json.loads(value)
-            self._layouts[service] = [[ChainMember(*fields) for fields in chain] for chain in rows]
-        except (ValueError, TypeError) as error:
+        chains = decode_layout(value)
+        if isinstance(chains, Failure):
             self._log.error(
                 "layout cannot be decoded, keeping the previous one",
                 service=service,
-                error=repr(error),
+                reason=chains.reason,
             )
+            return
+        self._layouts[service] = chains
 
     def find(
         self,
--- a/basilwinch/chains/controller.py
+++ b/basilwinch/chains/controller.py
@@ -6,7 +6,8 @@
 import trio
 
 from basilwinch.chains.layout import ChainMember, plan_chains
-from basilwinch.exception import ServerError
+from basilwinch.chains.record import decode_layout, encode_layout
+from basilwinch.exception import Failure, ServerError
 from basilwinch.store import Compare, KeyValue
 
 __all__ = ["LAYOUT_PREFIX", "LayoutController"]
@@ -163,19 +164,17 @@
         item = await self._store.get(key)
         if item is None:
             return [], 0
-        try:
-            rows = json.loads(item.value)
-            return [[ChainMember(*fields) for fields in chain] for chain in rows], item.mod_revision
-        except (ValueError, TypeError) as error:
+        chains = decode_layout(item.value)
+        if isinstance(chains, Failure):
             self._log.error(
-                "layout cannot be decoded, planning a new one", key=key, error=repr(error)
+                "layout cannot be decoded, planning a new one", key=key, reason=chains.reason
             )
             return [], item.mod_revision
+        return chains, item.mod_revision
 
     async def _write_layout(self, key: str, chains, revision: int, lease) -> tuple[list, int]:
         """Write a layout if neither it nor the lease has changed; return the one in the store."""
-        rows = [[[m.server, m.first, m.end] for m in chain] for chain in chains]
-        put = KeyValue(key, json.dumps(rows).encode(), 0)
+        put = KeyValue(key, encode_layout(chains), 0)
         outcome = await self._store.transact([Compare(key, revision), lease.condition], [put])
         if outcome.succeeded:
             return chains, outcome.revision
--- a/basilwinch/chains/load.py
+++ b/basilwinch/chains/load.py
@@ -8,12 +8,13 @@
 
 import structlog
 
-__all__ = ["FleetLoad", "NodeReport", "RequestLoad", "hash_server_id"]
+__all__ = ["FleetLoad", "NodeReport", "RequestLoad", "ZoneLoad", "hash_server_id"]
 
 # The load reported by a node is used for this many report intervals, so that the loss of single
 # reports does not matter.
 _REPORT_TTL_INTERVALS = 4
 _INITIAL_REPORT_INTERVAL_S = 0.25
+_ZONE_LOAD_TTL_S = 3.0  # several times the interval between reports within a zone
 _MIN_SUSPECT_S = 1.0  # a failed server is avoided for this long; doubles with further failures
 _MAX_SUSPECT_S = 4.0
 # A single node may be wrong about a server, as its own network link may be at fault.
@@ -42,37 +43,65 @@
         self.token_layers = token_layers
 
 
+def _add_shares(total: dict[int, RequestLoad], shares: dict[int, RequestLoad]) -> None:
+    for server_hash, load in shares.items():
+        sum_ = total.setdefault(server_hash, RequestLoad())
+        sum_.requests += load.requests
+        sum_.token_layers += load.token_layers
+
+
 def _count_avoiding_nodes(until_by_node: dict[str, float], now: float) -> int:
     return sum(now < until for until in until_by_node.values())
 
 
+class ZoneLoad:
+    """Load of all nodes of an availability zone together.
+
+    :param shares: :class:`RequestLoad` by server hash, summed over the nodes
+    :param age_s: seconds since it was gathered
+    """
+
+    __slots__ = ("shares", "age_s")
+
+    def __init__(self, shares: dict[int, RequestLoad], age_s: float):
+        self.shares = shares
+        self.age_s = age_s
+
+
 class NodeReport:
     """Load report of a node to the other nodes.
 
     :param shares: :class:`RequestLoad` by server hash, see :func:`hash_server_id`
     :param avoided: remaining seconds for which the node avoids a server, by server hash
     :param disconnected: whether the node has lost its links to all servers
+    :param is_gathered: whether other zones learn of the shares only as part of a zone's load
+    :param zone_loads: :class:`ZoneLoad` by availability zone, of a node that gathers or passes on
+        the load of zones
     """
 
-    __slots__ = ("shares", "avoided", "disconnected")
+    __slots__ = ("shares", "avoided", "disconnected", "is_gathered", "zone_loads")
 
     def __init__(
         self,
         shares: dict[int, RequestLoad],
         avoided: dict[int, float],
         disconnected: bool = False,
+        is_gathered: bool = False,
+        zone_loads: dict[str, ZoneLoad] | None = None,
     ):
         self.shares = shares
         self.avoided = avoided
         self.disconnected = disconnected
+        self.is_gathered = is_gathered
+        self.zone_loads = zone_loads or {}
 
 
 class FleetLoad:
     """Adds up the load of each server, and records which servers are avoided after a failure.
 
     ``own`` is this node's :class:`RequestLoad` by server id. ``report_interval_s`` is the time
-    between two reports of a node; it grows with the number of nodes. ``on_suspect`` is called
-    without arguments when this node begins to avoid a server.
+    between two reports of a node that sends them to all ``nodes``; it grows with their number.
+    ``on_suspect`` is called without arguments when this node begins to avoid a server.
 
     :param clock: function that returns the time in seconds
     :param links: :class:`~basilwinch.tunnel.reachability.Reachability` of this node, or None
@@ -82,7 +111,9 @@
         "_clock",
         "own",
         "report_interval_s",
+        "nodes",
         "_remote",
+        "_zone_loads",
         "_remote_total",
         "_remote_total_at",
         "_suspects",
@@ -97,8 +128,12 @@
         self._links = links
         self.own: dict[str, RequestLoad] = {}
         self.report_interval_s = _INITIAL_REPORT_INTERVAL_S
-        # By node: time at which its report was received, and load by server hash.
-        self._remote: dict[str, tuple[float, dict[int, RequestLoad]]] = {}
+        self.nodes = 1
+        # By node: time at which its report was received, load by server hash, and whether that
+        # load is gathered.
+        self._remote: dict[str, tuple[float, dict[int, RequestLoad], bool]] = {}
+        # By availability zone: time at which its load was gathered, and load by server hash.
+        self._zone_loads: dict[str, tuple[float, dict[int, RequestLoad]]] = {}
         self._remote_total: dict[int, RequestLoad] = {}
         self._remote_total_at = float("-inf")
         # By server id: time until which it is avoided, and length of this period in seconds.
@@ -148,7 +183,7 @@
         A node that finds its own links at fault takes back what it reported before.
         """
         now = self._clock()
-        self._remote[node] = (now, report.shares)
+        self._remote[node] = (now, report.shares, report.is_gathered)
         self._remote_total_at = float("-inf")
         for server_hash, until_by_node in self._remote_avoided_until.items():
             if server_hash not in report.avoided:
@@ -164,6 +199,41 @@
                     nodes=sorted(until_by_node),
                 )
 
+    def apply_zone_load(self, zone: str, load: ZoneLoad) -> None:
+        """Replace the load of another availability zone, unless what is known of it is newer."""
+        gathered_at = self._clock() - load.age_s
+        if zone not in self._zone_loads or gathered_at > self._zone_loads[zone][0]:
+            self._zone_loads[zone] = (gathered_at, load.shares)
+            self._remote_total_at = float("-inf")
+
+    def gather_zone_load(self, nodes) -> ZoneLoad:
+        """Return the load of this node and of other nodes of its zone whose load is gathered.
+
+        :param nodes: names of the other nodes
+        """
+        total: dict[int, RequestLoad] = {}
+        _add_shares(total, {hash_server_id(s): load for s, load in self.own.items()})
+        self._drop_expired(self._clock())
+        for node in nodes:
+            _, shares, is_gathered = self._remote.get(node, (0.0, {}, False))
+            if is_gathered:
+                _add_shares(total, shares)
+        return ZoneLoad({s: load for s, load in total.items() if load.requests}, 0.0)
+
+    def is_ungathered(self, node: str) -> bool:
+        """Return whether the last report of a node had load that is not gathered."""
+        known = self._remote.get(node)
+        return known is not None and not known[2]
+
+    def list_zone_loads(self) -> dict[str, ZoneLoad]:
+        """Return the known loads of other availability zones."""
+        now = self._clock()
+        self._drop_expired(now)
+        return {
+            zone: ZoneLoad(shares, now - gathered_at)
+            for zone, (gathered_at, shares) in self._zone_loads.items()
+        }
+
     def get_load(self, server_id: str) -> RequestLoad:
         """Return the load of a server, summed over all nodes."""
         now = self._clock()
@@ -176,14 +246,18 @@
     def _sum_remote(self, now: float) -> None:
         self._remote_total_at = now
         self._remote_total = {}
-        for node, (received_at, shares) in list(self._remote.items()):
-            if now - received_at > self.report_interval_s * _REPORT_TTL_INTERVALS:
-                del self._remote[node]
-                continue
-            for server_hash, load in shares.items():
-                total = self._remote_total.setdefault(server_hash, RequestLoad())
-                total.requests += load.requests
-                total.token_layers += load.token_layers
+        self._drop_expired(now)
+        for _, shares, _ in self._remote.values():
+            _add_shares(self._remote_total, shares)
+        for _, shares in self._zone_loads.values():
+            _add_shares(self._remote_total, shares)
+
+    def _drop_expired(self, now: float) -> None:
+        """Drop loads that were not reported again."""
+        node_ttl_s = self.report_interval_s * _REPORT_TTL_INTERVALS
+        for loads, ttl_s in ((self._remote, node_ttl_s), (self._zone_loads, _ZONE_LOAD_TTL_S)):
+            for name in [name for name, load in loads.items() if now - load[0] > ttl_s]:
+                del loads[name]
 
     def suspect(self, server_id: str, reason: str) -> None:
         """Avoid a server for a while; a server that is avoided already is left as it is.
--- a/basilwinch/fanout/connection.py
+++ b/basilwinch/fanout/connection.py
@@ -1,5 +1,7 @@
 """Connections that carry the messages of reads, each with its length before it."""
 
+import contextlib
+
 from basilwinch.exception import OVERSIZED_PACKET, Failure, ProtocolError
 from basilwinch.fanout.message import (
     MAX_MESSAGE_BYTES,
@@ -14,6 +16,7 @@
 __all__ = ["ReaderConnection", "receive_message", "send_message"]
 
 _LENGTH_BYTES = 4
+_ACCEPTED = b"ok\n"  # answer to the line that names the protocol
 
 
 async def send_message(sock, data: bytes) -> None:
@@ -62,15 +65,17 @@
 
         :param local_ip: own IP address, by which the reader knows this node
         :raises ServerError: if the reader can't be reached
-        :raises OSError: if the connection is lost
+        :raises OSError: if the connection is lost, or the node does not accept it
         """
-        connection = cls(await open_socket(ip, port, timeout_s, local_ip))
-        try:
-            await connection._sock.send(READ_PROTOCOL_LINE)
-        except BaseException:
-            connection.close()
-            raise
-        return connection
+        sock = await open_socket(ip, port, timeout_s, local_ip)
+        with contextlib.ExitStack() as undo:
+            undo.callback(sock.close)
+            await sock.send(READ_PROTOCOL_LINE)
+            accepted = await _receive_exactly(sock, len(_ACCEPTED))
+            if accepted != _ACCEPTED:
+                raise ConnectionResetError(f"reads not accepted: {accepted!r}")
+            undo.pop_all()
+        return cls(sock)
 
     async def ask(self, request: ReadRequest) -> ReadAnswer:
         """Send a request, and return its answer.
--- a/basilwinch/fanout/readers.py
+++ b/basilwinch/fanout/readers.py
@@ -40,14 +40,14 @@
     (False, 'n3', 2)
     """
 
-    __slots__ = ("_name", "_zone", "_nodes", "_order")
+    __slots__ = ("_name", "_zone", "_nodes", "_orders")
 
     def __init__(self, name: str, zone: str):
         self._name = name
         self._zone = zone
         self._nodes: dict[str, _Node] = {}
-        # Hash and name of the nodes of this zone that are able to read for others, in order.
-        self._order: list[tuple[int, str]] = [_rank(name)]
+        # By zone: hash and name of the nodes that are able to read for others, in order.
+        self._orders: dict[str, list[tuple[int, str]]] = {zone: [_rank(name)]}
 
     def add(self, name: str, ip: str, zone: str, is_able: bool) -> None:
         """Add a node, or change what is known of it.
@@ -56,14 +56,14 @@
         """
         self.remove(name)
         self._nodes[name] = _Node(ip, zone, is_able)
-        if is_able and zone == self._zone:
-            bisect.insort(self._order, _rank(name))
+        if is_able:
+            bisect.insort(self._orders.setdefault(zone, []), _rank(name))
 
     def remove(self, name: str) -> None:
         """Remove a node that is no longer registered."""
         node = self._nodes.pop(name, None)
-        if node is not None and node.is_able and node.zone == self._zone:
-            self._order.remove(_rank(name))
+        if node is not None and node.is_able:
+            self._orders[node.zone].remove(_rank(name))
 
     @property
     def is_reader(self) -> bool:
@@ -94,17 +94,29 @@
 
     def count_reading(self) -> int:
         """Return the number of nodes that read the store themselves. Linear in the nodes."""
-        able: dict[str, int] = {self._zone: 1}
-        unable = 0
-        for node in self._nodes.values():
-            if node.is_able:
-                able[node.zone] = able.get(node.zone, 0) + 1
-            else:
-                unable += 1
-        return unable + sum(min(count, _READERS_PER_ZONE) for count in able.values())
-
-    def _list_readers(self) -> list[str]:
-        return [name for _, name in self._order[:_READERS_PER_ZONE]]
+        unable = sum(not node.is_able for node in self._nodes.values())
+        return unable + sum(min(len(order), _READERS_PER_ZONE) for order in self._orders.values())
+
+    def is_able(self, name: str) -> bool:
+        """Return whether a node is registered and answers reads of other nodes."""
+        return name in self._nodes and self._nodes[name].is_able
+
+    def is_local(self, name: str) -> bool:
+        """Return whether a node is registered in the zone of this one."""
+        return name in self._nodes and self._nodes[name].zone == self._zone
+
+    def has_zone(self, zone: str) -> bool:
+        """Return whether a node that is able to read for others has been registered in a zone."""
+        return zone in self._orders
+
+    def list_remote(self) -> list[str]:
+        """Return the readers of all other zones."""
+        zones = [zone for zone in self._orders if zone != self._zone]
+        return [name for zone in zones for name in self._list_readers(zone)]
+
+    def _list_readers(self, zone: str | None = None) -> list[str]:
+        order = self._orders[self._zone if zone is None else zone]
+        return [name for _, name in order[:_READERS_PER_ZONE]]
 
 
 def _rank(name: str) -> tuple[int, str]:
--- a/basilwinch/fanout/tests/test_store.py
+++ b/basilwinch/fanout/tests/test_store.py
@@ -13,6 +13,7 @@
 from basilwinch.fanout.message import READ_PROTOCOL_LINE
 from basilwinch.fanout.shared_reads import SharedReads
 from basilwinch.standin.port import find_free_port
+from basilwinch.tunnel import Carriers, Reachability, TunnelListener
 from basilwinch.view import View
 from basilwinch.view.tests.standin import Store, make_source
 from basilwinch.view.watcher import StoreWatcher
@@ -64,6 +65,11 @@
         store = FanoutStore(self.access, self.readers, self.client, self.reads)
         source = make_source(self.access).replace_store(store)
         self.watcher = StoreWatcher(source, self.view, random.Random(1), self.clock)
+        self.carriers = Carriers("z0", random.Random(2))
+        self.listener = TunnelListener(
+            Reachability(), None, self.carriers, self.view, self.ip, trio.current_time
+        )
+        self.listener.protocols[READ_PROTOCOL_LINE] = ReaderServer(self).serve
 
     def clock(self) -> float:
         return trio.current_time() + self.offset_s
@@ -72,15 +78,9 @@
         with self.scope:
             async with trio.open_nursery() as nursery:
                 listeners = await trio.open_tcp_listeners(self.port, host=self.ip)
-                nursery.start_soon(trio.serve_listeners, self._serve, listeners)
+                nursery.start_soon(trio.serve_listeners, self.listener.serve, listeners)
                 nursery.start_soon(self.watcher.run)
 
-    async def _serve(self, stream):
-        assert await stream.receive_some(len(READ_PROTOCOL_LINE)) == READ_PROTOCOL_LINE
-        server = ReaderServer(self)
-        with stream.socket:
-            await server.serve(stream.socket, "peer")
-
     async def answer(self, request):
         answer = await self.reads.answer(request)
         while self.is_paused:
@@ -100,6 +100,7 @@
                 for other in nodes:
                     if other is not node:
                         node.readers.add(other.name, other.ip, "z0", True)
+                        node.carriers.add(other.name, other.ip, "z0")
             with trio.fail_after(20):
                 async with trio.open_nursery() as nursery:
                     for node in nodes:
--- a/basilwinch/forward/components.py
+++ b/basilwinch/forward/components.py
@@ -6,9 +6,9 @@
 
 __all__ = ["Components"]
 
-# With a longer interval between load reports, the load is too old to select the fastest path: other
-# nodes have sent several requests since.
-_MAX_INTERVAL_FOR_FASTEST_PATH_S = 0.5
+# With more nodes, the others have sent several requests since the last load report, so that all of
+# them would select the same fastest path.
+_MAX_NODES_FOR_FASTEST_PATH = 31
 
 
 class Components:
@@ -133,7 +133,7 @@
         servers = self.list_servers(context)
         # Only the first server of a path receives the request.
         avoid_heads = self._list_exhausted(servers)
-        if self.load.report_interval_s > _MAX_INTERVAL_FOR_FASTEST_PATH_S:
+        if self.load.nodes > _MAX_NODES_FOR_FASTEST_PATH:
             entries = self.view.servers
             name = context.service.name
             path = self.chain_selection.find(
--- a/basilwinch/peers/codec.py
+++ b/basilwinch/peers/codec.py
@@ -5,7 +5,7 @@
 
 import capnp
 
-from basilwinch.chains.load import NodeReport, RequestLoad
+from basilwinch.chains.load import NodeReport, RequestLoad, ZoneLoad
 from basilwinch.chains.server_limits import ServerUsage
 from basilwinch.exception import MALFORMED_USAGE, Failure
 from basilwinch.peers.packing import unpack
@@ -53,12 +53,14 @@
         version=min(_MAX_UINT64, max(0, version)),
         asking=asking,
         disconnected=report.disconnected,
+        gathered=report.is_gathered,
     )
-    rows = message.init("shares", len(report.shares))
-    for row, (server_hash, share) in zip(rows, report.shares.items(), strict=True):
-        row.server = server_hash
-        row.requests = min(_MAX_UINT32, share.requests)
-        row.tokenLayers = min(_MAX_UINT32, share.token_layers)
+    _encode_shares(message, report.shares)
+    rows = message.init("zoneLoads", len(report.zone_loads))
+    for row, (zone, load) in zip(rows, report.zone_loads.items(), strict=True):
+        row.zone = zone
+        row.ageMs = min(_MAX_UINT32, max(0, round(load.age_s * 1000)))
+        _encode_shares(row, load.shares)
     rows = message.init("avoided", len(report.avoided))
     for row, (server_hash, remaining_s) in zip(rows, report.avoided.items(), strict=True):
         row.server = server_hash
@@ -68,6 +70,14 @@
     return message.to_bytes_packed()
 
 
+def _encode_shares(message, shares: dict[int, RequestLoad]) -> None:
+    rows = message.init("shares", len(shares))
+    for row, (server_hash, share) in zip(rows, shares.items(), strict=True):
+        row.server = server_hash
+        row.requests = min(_MAX_UINT32, share.requests)
+        row.tokenLayers = min(_MAX_UINT32, share.token_layers)
+
+
 def _encode_usage(message, interval_s: float, by_server: dict[int, ServerUsage]) -> None:
     message.usageMs = max(1, round(interval_s * 1000))
     rows = message.init("limited", len(by_server))
@@ -94,12 +104,15 @@
 
 
 def _read_message(message) -> tuple:
-    for rows in (message.shares, message.avoided, message.limited):
-        if len(rows) > _MAX_ROWS:
-            raise ValueError(f"report has a list of {len(rows)} rows, at most {_MAX_ROWS} allowed")
-    shares = {row.server: RequestLoad(row.requests, row.tokenLayers) for row in message.shares}
+    for rows in (message.shares, message.avoided, message.limited, message.zoneLoads):
+        _check_length(rows)
     avoided = {row.server: row.forMs / 1000 for row in message.avoided}
-    report = NodeReport(shares, avoided, message.disconnected)
+    zone_loads = {
+        row.zone: ZoneLoad(_decode_shares(row), row.ageMs / 1000) for row in message.zoneLoads
+    }
+    report = NodeReport(
+        _decode_shares(message), avoided, message.disconnected, message.gathered, zone_loads
+    )
     usage = _decode_usage(message) if message.usageMs else None
     return (
         message.node,
@@ -112,6 +125,16 @@
     )
 
 
+def _check_length(rows) -> None:
+    if len(rows) > _MAX_ROWS:
+        raise ValueError(f"report has a list of {len(rows)} rows, at most {_MAX_ROWS} allowed")
+
+
+def _decode_shares(message) -> dict[int, RequestLoad]:
+    _check_length(message.shares)
+    return {row.server: RequestLoad(row.requests, row.tokenLayers) for row in message.shares}
+
+
 def _decode_usage(message) -> tuple[float, dict[int, ServerUsage]]:
     """Return the seconds covered and the usage by server, without rows of impossible values."""
     by_server = {}
--- a/basilwinch/peers/exchange.py
+++ b/basilwinch/peers/exchange.py
@@ -1,12 +1,12 @@
 """Exchange of load reports and suspects over UDP among the nodes that the store lists."""
 
-import json
-
 import structlog
 import trio
 
 from basilwinch.exception import LEASE_LOST, Failure, PlatformError
 from basilwinch.peers.codec import decode_report, encode_report
+from basilwinch.peers.gathering import Gathering
+from basilwinch.peers.registration import decode_registration, encode_registration
 from basilwinch.store import KeyValue
 from basilwinch.view import read_boot_clock
 
@@ -15,6 +15,7 @@
 NODES_PREFIX = "basilwinch/nodes/"
 _MIN_REPORT_INTERVAL_S = 0.25  # between regular reports to a peer; longer in a large fleet
 _MAX_REGULAR_DATAGRAMS_PER_S = 60  # sent by a node; more peers get reports less often
+_MAX_GATHERER_DATAGRAMS_PER_S = 100  # few nodes, and each report passes through two of them
 # A failed server is reported before the interval ends, but no sooner than this after the previous
 # report, so that a crash causes few reports.
 _MIN_EARLY_REPORT_DELAY_S = 0.25
@@ -28,7 +29,6 @@
 # writes that a small store takes.
 _FLEET_CHECKS_PER_S = 200.0
 _MAX_DATAGRAM_BYTES = 65535
-_READS_VERSION = 1  # of the protocol in which a node reads the store for others
 
 
 class PeerExchange:
@@ -60,6 +60,7 @@
         "_view",
         "_carriers",
         "_readers",
+        "_gathering",
         "_must_send",
         "_peers",
         "_sequence",
@@ -96,6 +97,7 @@
         self._zone = zone
         self._carriers = carriers
         self._readers = readers
+        self._gathering = Gathering(zone, readers, load)
         self._must_send = False
         self._rng = rng
         self._sequence = 0
@@ -131,17 +133,16 @@
             self._readers.remove(name)
             self._server_limits.forget_node(name)
             return
-        try:
-            if name not in self._peers:
-                self.request_full_report()
-            registration = json.loads(value)
-            self._peers[name] = ip = registration["ip"]
-            # Nodes of older versions name no zone, or do not read the store for others.
-            zone = registration.get("zone", "")
-            self._carriers.add(name, ip, zone)
-            self._readers.add(name, ip, zone, registration.get("reads") == _READS_VERSION)
-        except (ValueError, KeyError, TypeError, AttributeError) as error:
-            self._log.warning("node registration malformed", node=name, error=repr(error))
+        registration = decode_registration(value)
+        if isinstance(registration, Failure):
+            self._log.warning("node registration malformed", node=name, reason=registration.reason)
+            return
+        if name not in self._peers:
+            self.request_full_report()
+        ip, zone = registration.ip, registration.zone
+        self._peers[name] = ip
+        self._carriers.add(name, ip, zone)
+        self._readers.add(name, ip, zone, registration.is_reader_able)
 
     async def run(self) -> None:
         """Register, send and receive forever."""
@@ -177,8 +178,7 @@
 
     @property
     def _registration(self) -> bytes:
-        fields = {"ip": self._ip, "zone": self._zone, "reads": _READS_VERSION}
-        return json.dumps(fields).encode()
+        return encode_registration(self._ip, self._zone)
 
     async def _find_lease(self) -> int | None:
         """Return the lease of this node's registration in the store, None if it must register."""
@@ -206,28 +206,52 @@
     async def _send(self, sock) -> None:
         last_was_empty = False
         while True:
-            self._load.report_interval_s = max(
-                _MIN_REPORT_INTERVAL_S, len(self._peers) / _MAX_REGULAR_DATAGRAMS_PER_S
+            self._load.nodes = self.node_count
+            self._load.report_interval_s = _compute_interval(len(self._peers))
+            is_gathered = self._gathering.is_active(self._peers, trio.current_time())
+            is_urgent = await self._wait_until_report_is_due(
+                self._compute_gathered_interval() if is_gathered else self._load.report_interval_s
             )
-            await self._wait_until_report_is_due()
             peers = dict(self._peers)
             self._server_limits.set_nodes(self.node_count, self._load.report_interval_s)
             report, suspects = self._build_report()
             usage = self._server_limits.build_report()
+            # Limits are divided by what each node reports of itself, so that goes to all nodes.
+            if is_gathered and not usage[1]:
+                deliveries = self._gathering.divide(
+                    report,
+                    peers,
+                    is_urgent or self._must_send or bool(suspects),
+                    self._load.report_interval_s,
+                    trio.current_time(),
+                )
+            else:
+                deliveries = self._gathering.tell_all(report, peers)
             is_empty = not (
                 report.shares or report.avoided or report.disconnected or suspects or usage[1]
-            )
+            ) and not any(_has_load(delivery.report) for delivery in deliveries)
             if not is_empty or not last_was_empty or self._must_send:
                 self._must_send = False
-                await self._send_report(sock, peers, report, suspects, usage)
+                for delivery in deliveries:
+                    receivers = {name: peers[name] for name in delivery.names if name in peers}
+                    await self._send_report(sock, receivers, delivery.report, suspects, usage)
             last_was_empty = is_empty
 
+    def _compute_gathered_interval(self) -> float:
+        """Return the seconds between two reports of this node while its load is gathered."""
+        regular = self._gathering.count_regular(self._peers)
+        if self._readers.is_reader:
+            return _compute_interval(regular, _MAX_GATHERER_DATAGRAMS_PER_S)
+        return _compute_interval(regular)
+
     def _build_report(self) -> tuple:
         """Return the load report and the suspects of this node."""
         suspects = self._suspects.export(_MAX_SUSPECT_BYTES, trio.current_time())
         return self._load.build_report(len(self._view.servers)), suspects
 
     async def _send_report(self, sock, peers: dict[str, str], report, suspects, usage=None):
+        if not peers:
+            return
         self._sequence += 1
         is_asking = self._view.peer_versions.is_asking
         data = encode_report(
@@ -239,21 +263,25 @@
             except OSError as error:
                 self._log.info("load report not sent", node=name, error=repr(error))
 
-    async def _wait_until_report_is_due(self) -> None:
+    async def _wait_until_report_is_due(self, interval_s: float) -> bool:
         """Wait for the report interval; a failed server or a new suspect ends the wait early.
 
         For a failed server the wait lasts at least ``_MIN_EARLY_REPORT_DELAY_S``, for a suspect at
         least ``_MIN_SUSPECT_DELAY_S``.
+
+        :returns: whether there is one of them
         """
         start = trio.current_time()
         await trio.sleep(_MIN_SUSPECT_DELAY_S)
-        with trio.move_on_at(start + self._load.report_interval_s):
+        with trio.move_on_at(start + interval_s):
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._end_wait, nursery, self._suspects_changed, start)
-                early = start + min(_MIN_EARLY_REPORT_DELAY_S, self._load.report_interval_s)
+                early = start + min(_MIN_EARLY_REPORT_DELAY_S, interval_s)
                 nursery.start_soon(self._end_wait, nursery, self._report_requested, early)
+        is_urgent = self._report_requested.is_set() or self._suspects_changed.is_set()
         self._report_requested = trio.Event()
         self._suspects_changed = trio.Event()
+        return is_urgent
 
     async def _end_wait(self, nursery, event: trio.Event, not_before: float) -> None:
         await event.wait()
@@ -285,6 +313,8 @@
             if is_asking or 0 < version < self._view.version:
                 await self._answer(sock, node, address[0])
             self._load.apply_report(node, report)
+            if node in self._peers:
+                self._gathering.apply(node, report, trio.current_time())
             self._carriers.set_disconnected(
                 node, report.disconnected, trio.current_time(), self._load.report_interval_s
             )
@@ -307,3 +337,12 @@
         elif can_vouch and node in self._peers:
             report, suspects = self._build_report()
             await self._send_report(sock, {node: self._peers[node]}, report, suspects)
+
+
+def _compute_interval(receivers: int, datagrams_per_s=_MAX_REGULAR_DATAGRAMS_PER_S) -> float:
+    """Return the seconds between two reports of a node to a number of others."""
+    return max(_MIN_REPORT_INTERVAL_S, receivers / datagrams_per_s)
+
+
+def _has_load(report) -> bool:
+    return any(load.shares for load in report.zone_loads.values())
--- a/basilwinch/peers/schema.capnp
+++ b/basilwinch/peers/schema.capnp
@@ -17,6 +17,16 @@
   asking @8 :Bool;
   # Whether the sender has lost its links to all servers.
   disconnected @9 :Bool;
+  # Whether other zones learn of the shares only by what the readers of the sender's zone gather.
+  gathered @10 :Bool;
+  # Sums over the gathered shares of all nodes of a zone.
+  zoneLoads @11 :List(ZoneLoad);
+
+  struct ZoneLoad {
+    zone @0 :Text;
+    ageMs @1 :UInt32;
+    shares @2 :List(Share);
+  }
 
   struct Share {
     server @0 :UInt32;
--- /dev/null
+++ b/basilwinch/peers/tests/production/schema.capnp
@@ -0,0 +1,39 @@
+@0xd2b1c9f0a4e37715;
+
+# Servers are named by the CRC-32 of their id: a third of the bytes. Two servers of one mark share
+# their load, which only makes both look fuller.
+struct LoadReport {
+  node @0 :Text;
+  sequence @1 :UInt64;
+  shares @2 :List(Share);
+  avoided @3 :List(Avoided);
+  suspects @4 :Data;
+  # 0 if the report has no usage of servers with a limit; an empty list then says nothing.
+  usageMs @5 :UInt32;
+  limited @6 :List(Limited);
+  # Version of the configuration in force, 0 for none.
+  version @7 :UInt64;
+  # Whether the sender waits for the versions of others.
+  asking @8 :Bool;
+  # Whether the sender has lost its links to all servers.
+  disconnected @9 :Bool;
+
+  struct Share {
+    server @0 :UInt32;
+    requests @1 :UInt32;
+    tokenLayers @2 :UInt32;
+  }
+
+  struct Avoided {
+    server @0 :UInt32;
+    forMs @1 :UInt32;
+  }
+
+  struct Limited {
+    server @0 :UInt32;
+    limitPerS @1 :Float32;
+    ageMs @2 :UInt32;
+    requestsPerS @3 :Float32;
+    wantedPerS @4 :Float32;
+  }
+}
--- a/basilwinch/suspicion/evidence.py
+++ b/basilwinch/suspicion/evidence.py
@@ -24,6 +24,9 @@
 
 # Enough for 64 suspects with three strikes each.
 MAX_UNPACKED_BYTES = 1 << 16
+# Values of a row; newer versions may add further ones after these.
+_ENTRY_VALUES = 6
+_STRIKE_VALUES = 7
 _MAX_TEXT_CHARACTERS = 1024  # a stall names all servers of a chain, 32 at most
 _MAX_STRIKES = 64  # kept per suspect; conviction needs three at most
 _MIN_RESTART_S = 1.0  # a server that crashed is back after some seconds
@@ -147,7 +150,7 @@
     :raises ProtocolError: on malformed bytes
     """
     try:
-        return [_read_entry(*row) for row in _decompress(data)]
+        return [_read_entry(*row[:_ENTRY_VALUES]) for row in _decompress(data)]
     except (ValueError, TypeError, OverflowError, RecursionError, zlib.error) as error:
         failure = MALFORMED_REQUEST.because(f"suspect entries cannot be read: {error}")
         raise ProtocolError(failure) from error
@@ -157,12 +160,12 @@
     """Return an entry from the values of its row; nodes of older versions send no last value."""
     return SuspectEntry(
         _read_text(digest),
-        tuple(_read_strike(*row) for row in strikes),
+        tuple(_read_strike(*row[:_STRIKE_VALUES]) for row in strikes),
         tuple(map(_read_text, cleared)),
         _read_seconds(left_s),
         tuple(
             (_read_text(node), int(number), _read_seconds(left), tuple(map(_read_text, servers)))
-            for node, number, left, servers in tests
+            for node, number, left, servers, *_ in tests
         ),
         bool(vouched),
     )
--- a/basilwinch/tunnel/listener.py
+++ b/basilwinch/tunnel/listener.py
@@ -31,7 +31,8 @@
     """Accepts tunnels of registered nodes and copies their bytes to and from servers.
 
     Other protocols between nodes share its port. ``protocols`` has, by the first line that names
-    one, an async function of the socket after that line and the IP address of the other node.
+    one, an async function of the socket and the IP address of the other node. It is called after
+    that line was answered with ``ok``; the other node sends nothing in between.
 
     :param links: :class:`~basilwinch.tunnel.reachability.Reachability` of this node
     :param monitor: :class:`~basilwinch.tunnel.monitor.ReachabilityMonitor` of this node
@@ -98,6 +99,7 @@
         with trio.move_on_after(_HANDSHAKE_TIMEOUT_S):
             line = await _receive_line(origin)
         if line in self.protocols:
+            await _send_all(origin, encode_answer(TunnelAnswer.OK))
             await self.protocols[line](origin, peer)
             return
         request = decode_request(line)
