Give a late copy of an answer to no other caller

Cause: an answer with another id was refused, but its connection was used again, so the answer that was still due went to the request after it. An answer without an id was accepted on a connection that had carried an earlier request, of which it may be a second copy. Change: a connection whose answer has another id is closed, and on a connection in use again an answer must name its request.

--- a/basilwinch/forward/plain.py
+++ b/basilwinch/forward/plain.py
@@ -135,6 +135,11 @@
             response = await connection.receive_head()
             headers = dict(response.headers)
             components.observe_server(server.id, response.status_code, headers)
+            if not components.dialect.matches_request(
+                headers, context.info.id, connection.is_reused
+            ):
+                # The answer to this request may still arrive on the connection.
+                return OutcomeUnknown("response carries the id of another request"), True, None
             body = await connection.receive_body(_MAX_BODY_BYTES)
             reusable = True
             outcome = self._check_response(context, response, body)
@@ -152,8 +157,6 @@
     def _check_response(self, context, response, body) -> Answered | NotRun | OutcomeUnknown:
         dialect = self._components.dialect
         headers = dict(response.headers)
-        if not dialect.matches_request(headers, context.info.id):
-            return OutcomeUnknown("response carries the id of another request")
         if dialect.is_not_run(response.status_code, headers):
             return NotRun(f"server answered with status {response.status_code}")
         if response.status_code < 300 and not dialect.is_signed(headers):
--- a/basilwinch/forward/stream.py
+++ b/basilwinch/forward/stream.py
@@ -310,7 +310,7 @@
     async def _read_response(self, response, connection, path, detector):
         dialect, context = self._components.dialect, self._context
         headers = dict(response.headers)
-        if not dialect.matches_request(headers, context.info.id):
+        if not dialect.matches_request(headers, context.info.id, connection.is_reused):
             return OutcomeUnknown("response carries the id of another request")
         self._components.observe_server(path.members[0].server, response.status_code, headers)
         if dialect.is_not_run(response.status_code, headers):
--- a/basilwinch/platform/dialect.py
+++ b/basilwinch/platform/dialect.py
@@ -128,9 +128,15 @@
         """Return whether a response carries the signature of a server."""
         return b"x-server-stamp" in headers
 
-    def matches_request(self, headers: dict[bytes, bytes], request_id: bytes) -> bool:
-        """Return whether a response has the id of the request, or no id."""
-        return headers.get(b"x-request-id", request_id) == request_id
+    def matches_request(
+        self, headers: dict[bytes, bytes], request_id: bytes, is_reused: bool
+    ) -> bool:
+        """Return whether a response has the id of the request, or no id on a new connection.
+
+        :param is_reused: whether the connection has carried an earlier request, of which a second
+            answer may arrive
+        """
+        return headers.get(b"x-request-id", b"" if is_reused else request_id) == request_id
 
     def read_retry_after(self, status: int, headers: dict[bytes, bytes]) -> float | None:
         """Return the seconds for which a server wants no request of this node, None if it is 0.
--- a/basilwinch/platform/tests/standin.py
+++ b/basilwinch/platform/tests/standin.py
@@ -16,6 +16,7 @@
 _EVENTS_PER_STREAM = 6
 _EVENT_INTERVAL_S = 0.01
 _RAW_FAULTS = ("unframed", "unframed cut", "endless")
+_COPY_DELAY_S = 0.05
 _PAUSE_S = 1.4  # silence of a chain that is slow but alive
 
 
@@ -27,6 +28,9 @@
     within event 4). ``unframed`` sends an answer with neither a length nor chunks, ``unframed cut``
     one that ends within event 4, and ``endless`` one whose body, or first event, never ends.
 
+    ``copy`` and ``copy without id`` send the answer to a plain request a second time after
+    ``_COPY_DELAY_S``, and ``wait`` answers one only after twice that time.
+
     A server crashes on the first event of any stream whose prompt has one of ``crashing_parts``.
     """
 
@@ -46,6 +50,7 @@
         self.names_leaving = False  # whether its answers say that it leaves
         self.run_times: list[float] = []
         self.refused_at: list[float] = []  # times of the 503 of the fault "full"
+        self.nursery = None
         self.state = "ready"
         self.born = 1  # Unix time of its start in milliseconds
         self.heartbeats = 0
@@ -145,6 +150,7 @@
         """Start a server and register it."""
         listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
         server = StandinServer(server_id, service, listeners[0].socket.getsockname()[1], kind)
+        server.nursery = nursery
         self.servers.append(server)
 
         async def answer(exchange):
@@ -381,7 +387,13 @@
         if fault == "error":
             await exchange.respond(500, header, b"failed")
         elif server.kind is None:
-            await exchange.respond(200, header, b"done by " + server.id.encode())
+            body = b"done by " + server.id.encode()
+            if fault.startswith("copy"):
+                copied = header[1:] if fault == "copy without id" else header
+                server.nursery.start_soon(_send_copy, exchange, copied, body)
+            elif fault == "wait":
+                await trio.sleep(2 * _COPY_DELAY_S)
+            await exchange.respond(200, header, body)
         else:
             await self._stream(server, exchange, header, fault)
 
@@ -405,6 +417,16 @@
         await exchange.end()
 
 
+async def _send_copy(exchange, header, body: bytes) -> None:
+    """Send an answer once more, late, on a connection that may be in use again."""
+    stream = exchange._connection._stream
+    fields = b"".join(name + b": " + value + b"\r\n" for name, value in header)
+    await trio.sleep(_COPY_DELAY_S)
+    with contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+        length = b"Content-Length: %d\r\n\r\n" % len(body)
+        await stream.send_all(b"HTTP/1.1 200 OK\r\n" + fields + length + body)
+
+
 async def _send_raw(exchange, header, streaming: bool, fault: str) -> None:
     """Answer without framing, and end the answer by closing the connection."""
     stream = exchange._connection._stream
--- a/basilwinch/platform/tests/test_path.py
+++ b/basilwinch/platform/tests/test_path.py
@@ -89,6 +89,23 @@
     run_with(test)
 
 
+@pytest.mark.parametrize("fault", ["copy", "copy without id"])
+def test_late_copy_of_an_answer_reaches_no_other_caller(run_with, fault):
+    """Guards against a second copy of an answer that arrives on a connection in use again: the next
+    caller would get it, or its own answer would go to the caller after it."""
+
+    async def test(site):
+        server = site.platform.servers[0]
+        server.faults = [fault, "wait"]
+        assert (await site.call(b"GET", b"/safe/a", b"r1"))[0] == 200
+        status, headers, _ = await site.call(b"GET", b"/safe/a", b"r2")
+        assert status == 502 or headers[b"x-request-id"] == b"r2"
+        status, headers, _ = await site.call(b"GET", b"/safe/a", b"r3")
+        assert (status, headers[b"x-request-id"]) == (200, b"r3")
+
+    run_with(test, plain=1)
+
+
 def test_unknown_key_and_route_are_refused(run_with):
     async def test(site):
         assert (await site.call(b"GET", b"/safe/a", b"r1", key="other"))[0] == 401
--- a/basilwinch/wire/client.py
+++ b/basilwinch/wire/client.py
@@ -128,6 +128,7 @@
         "_unsent",
         "idle_since",
         "server_max_idle_s",
+        "is_reused",
     )
 
     def __init__(self, sock, host: str, port: int, on_result=None):
@@ -141,6 +142,8 @@
         self._unsent = None
         self.idle_since = 0.0
         self.server_max_idle_s: float | None = None
+        #: Whether it has carried an earlier request, of which another answer may still arrive.
+        self.is_reused = False
 
     async def send(self, method: bytes, target: bytes, header, body: bytes) -> None:
         """Send a request, or only prepare it if its body exceeds ``_MAX_INLINE_BODY_BYTES``.
@@ -233,6 +236,7 @@
         if protocol.their_state is not h11.DONE or protocol.trailing_data[0]:
             return False
         protocol.start_next_cycle()
+        self.is_reused = True
         self.idle_since = now
         return True
 
