Take only new events for progress of a stream, and end no connection just accepted

Causes, found while looking for failures that operators of similar systems had: - The stall detector took any bytes for progress, so a stalled server that sent a byte now and then was kept until its caller left after 2 s. - If an event at fault came with sound ones before it, those were counted as received and never sent on, so a resumed stream had a gap. - A stopping node looked for open connections in the moment in which it stopped accepting; the task of a connection accepted just before had not counted it yet, and was cut off. Change: the detector waits for new events; events before one at fault are sent on first; the node lets accepted connections count before it looks. Result: three tests that failed before, two with a server of the stand-in, one of the drain.

--- a/basilwinch/entry/node.py
+++ b/basilwinch/entry/node.py
@@ -277,6 +277,8 @@
         await trio.sleep_until(start + _ACCEPT_AFTER_STOP_S)
         self._rejecting = True
         self._front_scope.cancel()
+        # The task of a connection that was accepted last counts it only once it has started.
+        await trio.sleep(_DRAIN_POLL_S)
         while self._is_busy() and trio.current_time() < end:
             await trio.sleep(_DRAIN_POLL_S)
         self._log.info(
--- a/basilwinch/forward/stream.py
+++ b/basilwinch/forward/stream.py
@@ -21,6 +21,7 @@
 from basilwinch.forward.events import EventSplitter, read_event_id
 from basilwinch.forward.outcome import Answered, NotRun, OutcomeUnknown
 from basilwinch.forward.stall import StallDetector
+from basilwinch.record import Record
 
 __all__ = ["StreamForwarder"]
 
@@ -62,6 +63,13 @@
         return await _Relay(self._components, context, self._rng).run()
 
 
+class _Received(Record):
+    """New events of a stream, and what is wrong with what follows them, or None."""
+
+    __slots__ = ("events", "fault")
+    _defaults = {"fault": None}
+
+
 class _Relay:
     """The relay of one stream."""
 
@@ -329,31 +337,44 @@
     async def _relay_events(self, response, connection, path, detector):
         context = self._context
         splitter = EventSplitter()
+        receive = partial(self._receive_new_events, connection, splitter)
         while True:
-            data = await detector.watch(connection.receive_data)
-            if isinstance(data, OutcomeUnknown):
+            received = await detector.watch(receive)
+            if isinstance(received, OutcomeUnknown):
                 await self._report_abandoned(detector.head)
-                return data
-            if data is None:
+                return received
+            if received is None:
                 break
-            events = self._select_new_events(splitter.feed(data))
-            if isinstance(events, OutcomeUnknown):
-                self._avoid.add(path.members[0].server)
-                return events
-            self._attempt_events += len(events)
-            if events:
-                self._suspect_attempt.record_events(len(events))
-                await self._send_events(response, b"".join(events))
+            if received.events:
+                self._attempt_events += len(received.events)
+                self._suspect_attempt.record_events(len(received.events))
+                await self._send_events(response, b"".join(received.events))
                 detector.prefilling = False
-            if splitter.partial_bytes > _MAX_EVENT_BYTES:
+            if received.fault is not None:
                 self._avoid.add(path.members[0].server)
-                return OutcomeUnknown(f"stream has an event of over {_MAX_EVENT_BYTES} bytes")
+                return OutcomeUnknown(received.fault)
         if splitter.has_partial_event or not context.exchange.started:
             await self._report_failure(detector.head)
             return OutcomeUnknown("stream ended before its first event or within an event")
         await context.exchange.end()
         return None
 
+    async def _receive_new_events(self, connection, splitter):
+        """Return the next events that the caller has not received, None at the end of the stream.
+
+        Bytes that complete no such event are no progress: a server that has stalled may still send
+        some now and then.
+
+        :returns: :class:`_Received` or None
+        """
+        while (data := await connection.receive_data()) is not None:
+            received = self._select_new_events(splitter.feed(data))
+            if received.events or received.fault is not None:
+                return received
+            if splitter.partial_bytes > _MAX_EVENT_BYTES:
+                return _Received([], f"stream has an event of over {_MAX_EVENT_BYTES} bytes")
+        return None
+
     async def _report_failure(self, head) -> None:
         """Report a broken connection to the head, unless the attempt had made progress on it."""
         if self._attempt_events < FIRST_EVENTS:
@@ -369,26 +390,23 @@
         if head.id in self._avoid:
             await self._report_failure(head)
 
-    def _select_new_events(self, events):
-        """Return the events that the caller has not received.
-
-        :returns: list of events, or ``OutcomeUnknown`` if one is missing
-        """
+    def _select_new_events(self, events) -> "_Received":
+        """Return the events that the caller has not received, up to the first that is at fault."""
         new_events = []
         for event in events:
             event_id = read_event_id(event)
             if event_id is None:
-                return OutcomeUnknown("stream has an event without an id")
+                return _Received(new_events, "stream has an event without an id")
             if self._last_id is not None:
                 if event_id <= self._last_id:
                     continue
                 if event_id != self._last_id + 1:
-                    return OutcomeUnknown(
-                        f"expected event {self._last_id + 1}, got event {event_id}"
+                    return _Received(
+                        new_events, f"expected event {self._last_id + 1}, got event {event_id}"
                     )
             self._last_id = event_id
             new_events.append(event)
-        return new_events
+        return _Received(new_events)
 
     async def _send_events(self, response, data: bytes) -> None:
         exchange = self._context.exchange
--- a/basilwinch/platform/tests/standin.py
+++ b/basilwinch/platform/tests/standin.py
@@ -24,9 +24,11 @@
     """A server of the stand-in; each of ``faults`` changes its answer to one request, in order.
 
     Faults: ``full`` (503, not run), ``mute`` (no answer), ``reset`` (run, then the connection is
-    reset), ``error`` (500), and in a stream ``pause`` (silence after event 3) and ``cut`` (reset
-    within event 4). ``unframed`` sends an answer with neither a length nor chunks, ``unframed cut``
-    one that ends within event 4, and ``endless`` one whose body, or first event, never ends.
+    reset), ``error`` (500), and in a stream ``pause`` (silence after event 3), ``cut`` (reset
+    within event 4), ``trickle`` (event 4 without end, a byte at a time) and ``nameless`` (event 4,
+    and with it one without an id). ``unframed`` sends an answer with neither a length nor chunks,
+    ``unframed cut`` one that ends within event 4, and ``endless`` one whose body, or first event,
+    never ends.
 
     ``copy`` and ``copy without id`` send the answer to a plain request a second time after
     ``_COPY_DELAY_S``, and ``wait`` answers one only after twice that time.
@@ -410,6 +412,13 @@
             await exchange.send(b"id: %d\ndata: token\n\n" % number)
             if fault == "pause" and number == 3:
                 await trio.sleep(_PAUSE_S)
+            if fault == "trickle" and number == 3:
+                await exchange.send(b"id: 4\ndata: ")
+                while True:
+                    await trio.sleep(_EVENT_INTERVAL_S)
+                    await exchange.send(b".")
+            if fault == "nameless" and number == 3:
+                await exchange.send(b"id: 4\ndata: token\n\ndata: no id\n\n")
             if fault == "cut" and number == 3:
                 await exchange.send(b"id: 4\nda")
                 _reset(exchange)
--- a/basilwinch/platform/tests/test_path.py
+++ b/basilwinch/platform/tests/test_path.py
@@ -326,6 +326,31 @@
     run_with(test)
 
 
+def test_connection_accepted_last_before_the_drain_is_served(run_with, monkeypatch):
+    """Guards against a request of a connection that was accepted at the end of the time for that,
+    and cut off because its task had not started when the node looked for open connections."""
+    monkeypatch.setattr("basilwinch.entry.node._ACCEPT_AFTER_STOP_S", 0.1)
+
+    async def test(site):
+        node, answered = site.node, []
+
+        async def serve():
+            node._connections.add(serve)
+            await trio.sleep(0.2)
+            answered.append(True)
+            node._connections.discard(serve)
+
+        class Acceptor:
+            def cancel(self):
+                site.nursery.start_soon(serve)
+
+        node._front_scope = Acceptor()
+        await node._drain()
+        assert answered
+
+    run_with(test)
+
+
 def test_request_that_may_have_run_is_never_reported_as_not_run(run_with):
     """Guards against a 503, which means not run, after an attempt that may have run.
 
@@ -383,6 +408,48 @@
     run_with(test)
 
 
+def test_stalled_stream_that_sends_single_bytes_resumes_at_another_chain(run_with):
+    """Guards against a server that has stalled and is kept, as it sends a byte now and then."""
+
+    async def test(site):
+        heads = [s for s in site.platform.servers if s.layers and s.layers[0] == 0]
+        for head in heads:
+            head.faults = ["trickle"]
+        answers = []
+
+        async def send():
+            tokens = [(b"X-Token-Count", b"100,18")]
+            answers.append(
+                await site.call(b"POST", b"/s/a", b"r1", b"{}", headers=tokens, deadline_ms=4000)
+            )
+
+        with trio.fail_after(2.0):  # the caller would have left
+            async with trio.open_nursery() as callers:
+                callers.start_soon(send)
+                await site.wait_until(lambda: any(head.runs for head in heads))
+                for head in heads:
+                    head.faults.clear()
+        status, _, body = answers[0]
+        assert _is_complete(status, body)
+        assert sorted(len(head.runs) for head in heads) == [1, 1]
+
+    run_with(test)
+
+
+def test_events_before_one_at_fault_reach_the_caller(run_with):
+    """Guards against a gap in a stream that resumes after events that were never sent on."""
+
+    async def test(site):
+        heads = [s for s in site.platform.servers if s.layers and s.layers[0] == 0]
+        for head in heads:
+            head.faults = ["nameless"]
+        tokens = [(b"X-Token-Count", b"100,18")]
+        status, _, body = await site.call(b"POST", b"/s/a", b"r1", b"{}", headers=tokens)
+        assert _is_complete(status, body)
+
+    run_with(test)
+
+
 def test_stream_moves_from_a_chain_with_a_crashed_member_before_it_is_late(run_with):
     """Guards against slow detection of a crashed member.
 
