Tell nodes that start, or had lost their links, of all suspects

Cause: a second after the last change only one of 16 reports carries the suspects, 4 s apart with six nodes and 10 s or more in a large fleet. A node that starts asks its peers for their version, and their answers followed the same rule, so for seconds it served requests that had crashed servers. Change: answers to a node that asks, and reports after a new registration, a restore or a change of links, carry all suspects. Where load is gathered, older suspects go with the regular reports of the zone and of its readers and not to each node. Result: a test that failed before: a node that asks gets the suspects in each of three answers.

--- a/basilwinch/peers/exchange.py
+++ b/basilwinch/peers/exchange.py
@@ -214,16 +214,14 @@
             )
             peers = dict(self._peers)
             self._server_limits.set_nodes(self.node_count, self._load.report_interval_s)
-            report, suspects = self._build_report()
+            report, suspects = self._build_report(self._must_send)
             usage = self._server_limits.build_report()
             # Limits are divided by what each node reports of itself, so that goes to all nodes.
             if is_gathered and not usage[1]:
+                now = trio.current_time()
+                is_urgent |= self._must_send or self._suspects.has_changed_lately(now)
                 deliveries = self._gathering.divide(
-                    report,
-                    peers,
-                    is_urgent or self._must_send or bool(suspects),
-                    self._load.report_interval_s,
-                    trio.current_time(),
+                    report, peers, is_urgent, self._load.report_interval_s, now
                 )
             else:
                 deliveries = self._gathering.tell_all(report, peers)
@@ -244,9 +242,12 @@
             return _compute_interval(regular, _MAX_GATHERER_DATAGRAMS_PER_S)
         return _compute_interval(regular)
 
-    def _build_report(self) -> tuple:
-        """Return the load report and the suspects of this node."""
-        suspects = self._suspects.export(_MAX_SUSPECT_BYTES, trio.current_time())
+    def _build_report(self, complete: bool = False) -> tuple:
+        """Return the load report and the suspects of this node.
+
+        :param complete: whether a node that gets it may have missed earlier reports
+        """
+        suspects = self._suspects.export(_MAX_SUSPECT_BYTES, trio.current_time(), complete)
         return self._load.build_report(len(self._view.servers)), suspects
 
     async def _send_report(self, sock, peers: dict[str, str], report, suspects, usage=None):
@@ -311,7 +312,7 @@
             if node in self._peers:
                 self._view.record_peer_version(version, read_boot_clock())
             if is_asking or 0 < version < self._view.version:
-                await self._answer(sock, node, address[0])
+                await self._answer(sock, node, address[0], is_asking)
             self._load.apply_report(node, report)
             if node in self._peers:
                 self._gathering.apply(node, report, trio.current_time())
@@ -323,10 +324,13 @@
             if suspects:
                 await self._merge_suspects(sock, node, suspects)
 
-    async def _answer(self, sock, node: str, ip: str) -> None:
-        """Send a report to a node whose version is behind or that asks for the version."""
+    async def _answer(self, sock, node: str, ip: str, is_asking: bool) -> None:
+        """Send a report to a node whose version is behind or that asks for the version.
+
+        A node asks when it starts, and then knows of no suspects.
+        """
         if node != self._name:
-            report, suspects = self._build_report()
+            report, suspects = self._build_report(is_asking)
             await self._send_report(sock, {node: ip}, report, suspects)
 
     async def _merge_suspects(self, sock, node: str, data: bytes) -> None:
--- a/basilwinch/platform/tests/test_crashes.py
+++ b/basilwinch/platform/tests/test_crashes.py
@@ -3,8 +3,12 @@
 import pytest
 import trio
 
+from basilwinch.chains.load import NodeReport
 from basilwinch.exception import ServerError
+from basilwinch.peers import decode_report, encode_report
+from basilwinch.peers.exchange import NODES_PREFIX
 from basilwinch.suspicion import digest_part
+from basilwinch.suspicion.evidence import unpack
 
 CRASHING_PART = b"dead0001"
 
@@ -84,3 +88,28 @@
         assert lost and struck == set(lost)
 
     run_with(test)
+
+
+def test_node_that_asks_is_told_of_suspects_that_all_others_know(run_with):
+    """Guards against a node that starts, and serves requests that have crashed servers until the
+    next report that happens to carry them, up to four seconds later."""
+
+    async def test(site):
+        site.platform.put(NODES_PREFIX + "n2", b'{"ip": "127.0.0.2"}')
+        await site.wait_until(lambda: site.node._peers.count_peers() == 1)
+        suspects, now = site.node._suspects, trio.current_time()
+        suspects.begin_attempt("r1", "r1", ["c0"], False, now - 0.1, (digest_part("bad"),))
+        suspects.report_death("c0", now)
+        suspects.end_attempt("r1", "r1")
+        await trio.sleep(2.0)
+        with trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM) as sock:
+            await sock.bind(("127.0.0.2", site.settings.peer_port))
+            for number in range(3):
+                question = encode_report("n2", number, NodeReport({}, {}), asking=True)
+                address = (site.settings.front.host, site.settings.peer_port)
+                await sock.sendto(question, address)
+                with trio.fail_after(1.0):
+                    answer = decode_report((await sock.recvfrom(65535))[0])
+                assert unpack(answer[3])
+
+    run_with(test)
--- a/basilwinch/suspicion/exchange.py
+++ b/basilwinch/suspicion/exchange.py
@@ -52,15 +52,18 @@
         self._changed_at = -math.inf
         self._unchanged_messages = 0
 
-    def export(self, limit: int, now: float) -> bytes:
+    def export(self, limit: int, now: float, complete: bool = False) -> bytes:
         """Return the most severe suspects that fit into ``limit`` bytes, empty for none.
 
         At most ``max_entries`` are returned. Once the resend period has passed
         since the last change, only one of ``SUSPECT_RESEND_INTERVAL_MESSAGES`` messages
         carries them. Sorts all entries of the registry: O(n log n).
+
+        :param complete: whether the message must carry them in any case, for a node that may have
+            missed the others
         """
         self.refresh(now)
-        if now - self._changed_at > self._resend_period_s:
+        if not complete and not self.has_changed_lately(now):
             self._unchanged_messages = (
                 self._unchanged_messages + 1
             ) % SUSPECT_RESEND_INTERVAL_MESSAGES
@@ -74,6 +77,10 @@
             entries.pop()
         return b""
 
+    def has_changed_lately(self, now: float) -> bool:
+        """Return whether each message carries the suspects now."""
+        return now - self._changed_at <= self._resend_period_s
+
     def merge(self, node: str, data: bytes, now: float) -> bool | Failure:
         """Merge the suspects of another node.
 
