Soak: nodes of the version in production and of this one side by side

The older build is taken from the history of the repository; even seeds upgrade the nodes one after the other by SIGTERM, odd ones roll them back, beside all other faults and checks. Two seeds run with the tests: no promise broken (seeds 1 and 2, four nodes, 8 s).

--- a/bench/soak_processes.py
+++ b/bench/soak_processes.py
@@ -19,6 +19,7 @@
 from basilwinch.platform.tests.site import KEYS, make_configuration, make_settings
 from basilwinch.platform.tests.standin import StandinPlatform
 from basilwinch.wire import connect
+from bench.older_build import extract_build, read_production
 from bench.proxy import FaultProxy
 
 __all__ = ["Soak", "main"]
@@ -56,6 +57,7 @@
         self.settings = folder / f"node-{number}.toml"
         self.settings.write_text(make_settings(number, self.host, f"{proxy.host}:{proxy.port}"))
         self.process: subprocess.Popen | None = None
+        self.build: pathlib.Path | None = None  # of an older version, None for this one
         self.cuts = 0  # cuts from all servers in force
         self.cut_at = 0.0
         self.disturbed_until = 0.0
@@ -67,12 +69,16 @@
 
     def start(self) -> None:
         command = [sys.executable, "-m", "basilwinch.platform.program"]
+        environ = os.environ | {"PYTHONHASHSEED": "0"}
+        if self.build is not None:
+            environ["PYTHONPATH"] = str(self.build)
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(
                 [*command, "--settings", str(self.settings), "--seed", "1"],
                 stdout=log,
                 stderr=log,
-                env=os.environ | {"PYTHONHASHSEED": "0"},
+                env=environ,
+                cwd=self.build,
             )
 
     def send_signal(self, signal_number: int) -> None:
@@ -106,6 +112,8 @@
     :param restores: whether the store is also restored from older copies, and its connections fall
         silent; a seed stands for other faults then
     :param cuts: whether nodes are also cut from all servers; a seed stands for other faults then
+    :param older_build: folder of an older version, from which all nodes are upgraded one after the
+        other, or with an odd seed rolled back to; None for no other version
     """
 
     def __init__(
@@ -117,7 +125,11 @@
         plant: str = "",
         restores: bool = False,
         cuts: bool = False,
+        older_build: pathlib.Path | None = None,
     ):
+        self.older_build = older_build
+        self.is_rollback = seed % 2 == 1
+        self.replaced = 0
         self.restores = restores
         self.cuts = cuts
         # First attempts at nodes in order while some nodes are cut: served and sent, by whether
@@ -155,6 +167,7 @@
                 self.nodes.append(Node(number, proxy, self.folder))
             try:
                 for node in self.nodes:
+                    node.build = None if self.is_rollback else self.older_build
                     node.start()
                 await self._run_callers_and_faults(nursery)
             finally:
@@ -170,6 +183,7 @@
             "violations": self.violations,
             "faults": self.faults,
             "requests": len(self.answers),
+            "replaced": self.replaced,
             "at_cut_nodes": self.first_attempts[True],
             "at_other_nodes": self.first_attempts[False],
         }
@@ -181,6 +195,8 @@
         nursery.start_soon(self._copy_store)
         end = trio.current_time() + self.seconds
         async with trio.open_nursery() as faults:
+            if self.older_build is not None:
+                faults.start_soon(self._replace_nodes)
             while trio.current_time() < end:
                 await trio.sleep(self.rng.uniform(*_FAULT_INTERVAL_RANGE_S))
                 if self.cuts and len(self.faults) % _LINK_FAULT_PERIOD == 0:
@@ -203,6 +219,14 @@
             )
         self.stopping = True
 
+    async def _replace_nodes(self) -> None:
+        """Replace the nodes of one version by those of the other, one after the other."""
+        for node in self.nodes:
+            await trio.sleep(self.seconds / (len(self.nodes) + 1))
+            node.build = self.older_build if self.is_rollback else None
+            await node.restart(signal.SIGTERM)
+            self.replaced += 1
+
     async def _copy_store(self) -> None:
         """Keep copies of the store from which it can be restored."""
         while True:
@@ -470,12 +494,14 @@
     plant: str = "",
     restores: bool = False,
     cuts: bool = False,
+    older: str = "",
 ) -> dict:
-    """Run one seed and return its report."""
+    """Run one seed and return its report; ``older`` is the commit of an older version, if any."""
     with contextlib.ExitStack() as stack:
         folder = folder or stack.enter_context(tempfile.TemporaryDirectory())
         pathlib.Path(folder).mkdir(parents=True, exist_ok=True)
-        return trio.run(Soak(seed, seconds, nodes, folder, plant, restores, cuts).run)
+        build = extract_build(older, pathlib.Path(folder).resolve()) if older else None
+        return trio.run(Soak(seed, seconds, nodes, folder, plant, restores, cuts, build).run)
 
 
 def main(arguments=None) -> int:
@@ -490,6 +516,12 @@
     parser.add_argument("--logs", default="", help="folder for logs; a temporary one by default")
     parser.add_argument("--restores", action="store_true", help="also restore the store")
     parser.add_argument("--cuts", action="store_true", help="also cut nodes from all servers")
+    parser.add_argument(
+        "--older",
+        default="",
+        help="commit of an older version beside this one, or 'production' for that of the deploy "
+        "file; the nodes are upgraded, or with an odd seed rolled back",
+    )
     parser.add_argument("--plant", default="", choices=["", "twice", "refused", "cut"])
     options = parser.parse_args(arguments)
     # Suppresses the stand-in's lines on intended faults; the nodes write their own logs.
@@ -507,6 +539,7 @@
             options.plant,
             options.restores,
             options.cuts,
+            read_production() if options.older == "production" else options.older,
         )
         failed += bool(report["violations"])
         print(json.dumps({"seed": seed, **report}), flush=True)
--- a/bench/tests/test_soak_processes.py
+++ b/bench/tests/test_soak_processes.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from bench.older_build import read_production
 from bench.soak_processes import run_seed
 
 # Seeds that failed once, with the cause.
@@ -37,6 +38,17 @@
     assert report["at_cut_nodes"][1] > 20
 
 
+@pytest.mark.parametrize("seed", [1, 2])
+def test_no_promise_is_broken_while_nodes_are_upgraded_or_rolled_back(seed, tmp_path):
+    """Guards against nodes of the version in production and of this one that mislead each other,
+    while they are replaced one after the other under load and faults."""
+    older = read_production()
+    report = run_seed(seed, seconds=8.0, nodes=4, folder=str(tmp_path), older=older)
+    assert report["violations"] == []
+    assert report["requests"] > 200
+    assert report["replaced"] == 4
+
+
 @pytest.mark.parametrize(
     ("plant", "words"),
     [("twice", "ran 2 times"), ("refused", "refused"), ("cut", "cut nodes served")],
