Leave out chains with a server of an unknown kind of accelerator

Cause: the random choice of a chain looked up the kind of each member without a check, so a server or a configuration that names kinds which do not fit together ended the request's task with a KeyError, and with it the process. The layout controller left such servers out without a word. Change: such a chain is left out; the controller logs the server once, with its kind and the known ones. Result: two tests; the first failed with a KeyError before.

--- a/basilwinch/chains/chain_selection.py
+++ b/basilwinch/chains/chain_selection.py
@@ -110,5 +110,8 @@
                 return None
             if entry.layers != (member.first, member.end) or self._load.is_suspect(entry.id):
                 return None
-            stages.append(Stage(entry, engine.kinds[entry.kind], engine, self._load))
+            kind = engine.kinds.get(entry.kind)
+            if kind is None:
+                return None
+            stages.append(Stage(entry, kind, engine, self._load))
         return stages
--- a/basilwinch/chains/controller.py
+++ b/basilwinch/chains/controller.py
@@ -51,6 +51,7 @@
         "_pending_orders",
         "_lost_at",
         "_layout_history",
+        "_unknown_kinds",
         "_log",
         "_clock",
     )
@@ -66,6 +67,8 @@
         self._pending_orders: dict[str, tuple[tuple[int, int], float]] = {}
         self._lost_at: dict[str, float] = {}
         self._layout_history = store.history.number
+        # Servers left out because the configuration does not name their kind, by id.
+        self._unknown_kinds: dict[str, str] = {}
         self._log = structlog.get_logger("layout")
 
     async def run(self, lease) -> None:
@@ -133,6 +136,7 @@
             layouts[key] = await self._read_layout(key)
         chains, revision = layouts[key]
         servers = [s for s in self._view.by_service.get(service.name, ()) if not s.leaving]
+        self._report_unknown_kinds(service, servers)
         if self._store.history.number != self._layout_history:
             return  # the revision is of an earlier history
         planned = plan_chains(
@@ -149,6 +153,23 @@
                     if entry is not None and self._begin_order(entry, member, service.engine):
                         nursery.start_soon(self._send_order, entry, member, lease)
 
+    def _report_unknown_kinds(self, service, servers) -> None:
+        """Log once for each server that it is left out, as its kind is not in the configuration."""
+        for server in servers:
+            if server.kind in service.engine.kinds:
+                self._unknown_kinds.pop(server.id, None)
+            elif self._unknown_kinds.get(server.id) != server.kind:
+                self._unknown_kinds[server.id] = server.kind
+                self._log.error(
+                    "server left out, its kind of accelerator is not in the configuration",
+                    server=server.id,
+                    service=service.name,
+                    kind=server.kind,
+                    known=sorted(service.engine.kinds),
+                )
+        for server_id in self._unknown_kinds.keys() - self._view.servers.keys():
+            del self._unknown_kinds[server_id]
+
     def _find_recently_lost(self, servers, chains) -> frozenset:
         """Return the ids of members that disappeared a short while ago."""
         now = self._clock()
--- a/basilwinch/chains/tests/test_chain_selection.py
+++ b/basilwinch/chains/tests/test_chain_selection.py
@@ -112,3 +112,14 @@
     assert chains.find("llm", entries, engine, TOKENS, 760) is not None
     chains.apply("llm", None)
     assert chains.find("llm", entries, engine, TOKENS, 760) is None
+
+
+def test_chain_with_a_member_of_an_unknown_kind_is_left_out(servers, engine, layout):
+    """Guards against a node that ends when a server, or a new configuration, names kinds of
+    accelerators that do not fit together."""
+    chains = ChainSelection(FleetLoad(lambda: 100.0), random.Random(1))
+    chains.apply("llm", _encode_layout(layout[:2]))
+    entries = {s.id: s for s in servers}
+    entries[layout[0][1].server].kind = "never-seen"
+    for _ in range(10):
+        assert chains.find("llm", entries, engine, TOKENS, 760).members == layout[1]
--- a/basilwinch/chains/tests/test_controller.py
+++ b/basilwinch/chains/tests/test_controller.py
@@ -3,6 +3,7 @@
 import json
 
 import pytest
+import structlog
 import trio
 import trio.testing
 
@@ -101,3 +102,24 @@
     for chain in layout:
         view.remove_server(chain[0].server, 2, "test")
     assert planned_after(layout) >= 1.0
+
+
+def test_server_of_an_unknown_kind_is_logged_once_and_the_rest_planned(view, engine):
+    """Guards against a server that is left out without a word, or that keeps the others from being
+    used."""
+    server = next(iter(view.servers.values()))
+    view.set_server(server.replace(kind="never-seen"), 2)
+    store = Store()
+
+    async def main():
+        controller = LayoutController(view, store, Dialect(), Pool(), FleetLoad(trio.current_time))
+        with trio.move_on_after(3):
+            await controller.run(Lease())
+
+    with structlog.testing.capture_logs() as lines:
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    rows = json.loads(store.items[LAYOUT_PREFIX + "llm"].value)
+    assert rows
+    assert not any(member[0] == server.id for chain in rows for member in chain)
+    errors = [line for line in lines if line["log_level"] == "error"]
+    assert [(line["server"], line["kind"]) for line in errors] == [(server.id, "never-seen")]
