Send suspects learned from others only where the load goes

Cause: with load gathered by zone, a node sent each report with suspects to all nodes, also those it had only learned of. Change: only own evidence goes to all nodes for a second; what was learned goes with the regular reports of the zone and through its readers to other zones.

--- a/basilwinch/peers/exchange.py
+++ b/basilwinch/peers/exchange.py
@@ -22,6 +22,10 @@
 # New evidence against a suspect is sent sooner, since each request with it costs a server; the wait
 # only joins what one crash reveals.
 _MIN_SUSPECT_DELAY_S = 0.02
+# Time after own evidence in which each report goes to all nodes, as single datagrams may be lost.
+# What a node has learned from others goes only where its load goes; else all nodes would repeat it
+# to all others.
+_OWN_EVIDENCE_RESEND_S = 1.0
 _MAX_SUSPECT_BYTES = 8192  # in a report; an entry takes about 150 bytes
 _LEASE_TTL_S = 12.0  # a node that stopped still gets reports until its lease expires
 _RENEW_INTERVAL_S = 4.0
@@ -66,6 +70,7 @@
         "_sequence",
         "_report_requested",
         "_suspects_changed",
+        "_own_evidence_at",
         "_restored",
         "_log",
         "_rng",
@@ -103,6 +108,7 @@
         self._sequence = 0
         self._report_requested = trio.Event()
         self._suspects_changed = trio.Event()
+        self._own_evidence_at = float("-inf")
         self._restored = trio.Event()
         store.history.subscribe(self._notify_restored)
         load.on_suspect = self._request_report
@@ -200,7 +206,9 @@
 
     def notify_suspects_changed(self) -> None:
         """Send the suspects to all peers soon if the evidence has changed."""
-        if self._suspects.refresh(trio.current_time()):
+        now = trio.current_time()
+        if self._suspects.refresh(now):
+            self._own_evidence_at = now
             self._suspects_changed.set()
 
     async def _send(self, sock) -> None:
@@ -219,7 +227,8 @@
             # Limits are divided by what each node reports of itself, so that goes to all nodes.
             if is_gathered and not usage[1]:
                 now = trio.current_time()
-                is_urgent |= self._must_send or self._suspects.has_changed_lately(now)
+                is_own_evidence = now - self._own_evidence_at <= _OWN_EVIDENCE_RESEND_S
+                is_urgent |= self._must_send or is_own_evidence
                 deliveries = self._gathering.divide(
                     report, peers, is_urgent, self._load.report_interval_s, now
                 )
--- a/basilwinch/platform/tests/test_crashes.py
+++ b/basilwinch/platform/tests/test_crashes.py
@@ -5,9 +5,11 @@
 
 from basilwinch.chains.load import NodeReport
 from basilwinch.exception import ServerError
-from basilwinch.peers import decode_report, encode_report
+from basilwinch.observability import DecisionLog
+from basilwinch.peers import PeerExchange, decode_report, encode_report
 from basilwinch.peers.exchange import NODES_PREFIX
-from basilwinch.suspicion import digest_part
+from basilwinch.peers.registration import encode_registration
+from basilwinch.suspicion import SuspectConfig, SuspectRegistry, digest_part
 from basilwinch.suspicion.evidence import unpack
 
 CRASHING_PART = b"dead0001"
@@ -113,3 +115,40 @@
                 assert unpack(answer[3])
 
     run_with(test)
+
+
+def test_suspects_learned_from_others_are_not_sent_to_all_nodes(run_with, monkeypatch):
+    """Guards against a large fleet in which one crash makes each node tell all others: that took
+    more of the links between zones than all other reports. Own evidence still goes to all."""
+    told = set()
+    send_report = PeerExchange._send_report
+
+    async def record(self, sock, peers, report, suspects, usage=None):
+        told.update(peers if suspects else ())
+        await send_report(self, sock, peers, report, suspects, usage)
+
+    async def test(site):
+        node = site.node
+        for number in range(40):
+            value = encode_registration("127.0.0.9", f"z{number % 2 + 1}")
+            site.platform.put(NODES_PREFIX + f"m{number}", value)
+        await site.wait_until(lambda: node._peers.count_peers() == 40)
+        await trio.sleep(2.0)
+        peer = SuspectRegistry(SuspectConfig("m1", weak_strikes=False), DecisionLog.for_benchmark())
+        _crash(peer, "r1", "c0")
+        monkeypatch.setattr(PeerExchange, "_send_report", record)
+        node._suspects.merge_bytes(peer.export_bytes(trio.current_time()), trio.current_time())
+        await trio.sleep(1.5)
+        assert len(told) <= 4, "the readers of both other zones"
+        _crash(node._suspects, "r2", "c2")
+        await trio.sleep(1.0)
+        assert len(told) == 40
+
+    run_with(test)
+
+
+def _crash(registry, run_id, server):
+    now = trio.current_time()
+    registry.begin_attempt(run_id, run_id, [server], False, now - 0.1, (digest_part(run_id),))
+    registry.report_death(server, now)
+    registry.end_attempt(run_id, run_id)
--- a/basilwinch/suspicion/exchange.py
+++ b/basilwinch/suspicion/exchange.py
@@ -63,7 +63,7 @@
             missed the others
         """
         self.refresh(now)
-        if not complete and not self.has_changed_lately(now):
+        if not complete and now - self._changed_at > self._resend_period_s:
             self._unchanged_messages = (
                 self._unchanged_messages + 1
             ) % SUSPECT_RESEND_INTERVAL_MESSAGES
@@ -77,10 +77,6 @@
             entries.pop()
         return b""
 
-    def has_changed_lately(self, now: float) -> bool:
-        """Return whether each message carries the suspects now."""
-        return now - self._changed_at <= self._resend_period_s
-
     def merge(self, node: str, data: bytes, now: float) -> bool | Failure:
         """Merge the suspects of another node.
 
