Readers: search only the changes that are asked for; allow more connections

Cause: each answer went over the whole log of a reader, once for each waiting node and change; and the limit of connections assumed zones of 45 nodes. Change: the log is read from its end; the limit is an eighth of the descriptors of a node, as for tunnels.

--- a/basilwinch/fanout/change_log.py
+++ b/basilwinch/fanout/change_log.py
@@ -1,6 +1,7 @@
 """Changes of the store that a reader keeps for the nodes that it reads for, without I/O."""
 
 import collections
+import itertools
 
 from basilwinch.store import WatchEvent
 
@@ -52,22 +53,24 @@
     def list_after(self, revision: int) -> list[WatchEvent] | None:
         """Return changes after a revision, whole revisions up to a maximum size.
 
+        Linear in the changes after the revision.
+
         :returns: an empty list if there are none yet, None if the log does not tell them
         """
         if self._end < 0 or revision < self._start:
             return None
-        found: list[WatchEvent] = []
+        newer = list(
+            itertools.takewhile(lambda event: event.mod_revision > revision, reversed(self._events))
+        )
+        newer.reverse()
         complete = size = 0
-        for event in self._events:
-            if event.mod_revision <= revision:
-                continue
-            if found and event.mod_revision != found[-1].mod_revision:
-                complete = len(found)
+        for index, event in enumerate(newer):
+            if index and event.mod_revision != newer[index - 1].mod_revision:
+                complete = index
             size += _measure(event)
             if size > _MAX_ANSWER_BYTES:
-                return found[:complete] or None
-            found.append(event)
-        return found
+                return newer[:complete] or None
+        return newer
 
     def _drop_revision(self) -> None:
         """Drop all changes of the oldest revision."""
--- a/basilwinch/fanout/reader_server.py
+++ b/basilwinch/fanout/reader_server.py
@@ -11,8 +11,7 @@
 
 __all__ = ["ReaderServer"]
 
-# Two for each node of a zone of 45 nodes, and as many that are about to end.
-_MAX_CONNECTIONS = 180
+_MAX_CONNECTIONS = 512  # two for each node that asks; an eighth of the descriptors of a node
 
 
 class ReaderServer:
