--- a/review/tools/rig.py
+++ b/review/tools/rig.py
@@ -53,6 +53,7 @@
 contracts = ["base","drain","config","cost","retry","recover","engine","stream","tenants","platform","layers"]
 [zones]
 z0 = "ro-nord"
+z1 = "ro-nord"
 [listen]
 front = "{ip}:{front}"
 ready = "{ip}:{ready}"
@@ -253,6 +254,31 @@
         return False
 
 
+class Platform(StandinPlatform):
+    """The project's stand-in of the store, which can also cut the watches that wait."""
+
+    def __init__(self, configuration_):
+        super().__init__(configuration_)
+        self._waiting = set()
+
+    async def _answer(self, exchange):
+        if not exchange.target.startswith(b"/-/kv-watch"):
+            await super()._answer(exchange)
+            return
+        self._waiting.add(exchange._connection)
+        try:
+            await super()._answer(exchange)
+        finally:
+            self._waiting.discard(exchange._connection)
+
+    def cut_watches(self):
+        """Cut the watches that wait; return their number."""
+        cut = list(self._waiting)
+        for connection in cut:
+            reset(connection._stream)
+        return len(cut)
+
+
 class Rig:
     """The platform, the nodes and the servers of one script."""
 
@@ -261,7 +287,7 @@
         self.record = record
         self.folder = folder
         self.network = f"127.{random.randrange(10, 250)}.{random.randrange(1, 250)}"
-        self.platform = StandinPlatform(configuration_)
+        self.platform = Platform(configuration_)
         self.nodes = []
 
     @property
@@ -271,7 +297,8 @@
     async def start(self, nodes):
         await self.platform.start(self.nursery)
         for number in range(nodes):
-            node = Node(self, number, "z0")
+            # Two nodes of a zone read the store themselves, so all nodes of a script do.
+            node = Node(self, number, f"z{number // 2}")
             self.nodes.append(node)
             node.start()
             self.nursery.start_soon(node.supervise)
