--- a/review/tools/rig.py
+++ b/review/tools/rig.py
@@ -23,6 +23,7 @@
 import trio
 
 from basilwinch.platform.tests.standin import StandinPlatform
+from bench.proxy import FaultProxy
 
 # The stand-in of the store logs each lost connection.
 structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(50))
@@ -176,8 +177,9 @@
 class Node:
     """A node's process, started with the command of the deploy file, and started again if it ends."""
 
-    def __init__(self, rig, number, zone):
+    def __init__(self, rig, number, zone, way=None):
         self.rig = rig
+        self.way = way  # to the store, None for none of its own
         self.name = f"edge-{number + 1}"
         self.ip = f"{rig.network}.{number + 1}"
         self.front, self.ready, control = 8227, 8220, 8229
@@ -192,7 +194,7 @@
                 front=self.front,
                 ready=self.ready,
                 control=control,
-                store=rig.store_address,
+                store=f"{way.host}:{way.port}" if way else rig.store_address,
             )
         )
         self.log = rig.folder / f"{self.name}.log"
@@ -214,6 +216,14 @@
             )
         self.rig.record.write("process started", node=self.name)
 
+    def last_check(self):
+        """Return when the node last asked for the store's revision, on its own way."""
+        ports = set()
+        for stream in self.way._open_streams:
+            with contextlib.suppress(OSError):
+                ports.add(stream.socket.getsockname()[1])
+        return max((self.rig.platform.asked.get(port, 0.0) for port in ports), default=0.0)
+
     async def supervise(self):
         """Start the process again, after a short delay, whenever it ends."""
         while True:
@@ -260,8 +270,13 @@
     def __init__(self, configuration_):
         super().__init__(configuration_)
         self._waiting = set()
+        self.asked = {}  # by the caller's port: time of its last query of the store's revision
 
     async def _answer(self, exchange):
+        if exchange.target.startswith(b"/-/kv-range?prefix=%7E") or b"prefix=~" in exchange.target:
+            with contextlib.suppress(OSError):
+                port = exchange._connection._stream.socket.getpeername()[1]
+                self.asked[port] = trio.current_time()
         if not exchange.target.startswith(b"/-/kv-watch"):
             await super()._answer(exchange)
             return
@@ -294,11 +309,20 @@
     def store_address(self):
         return f"127.0.0.1:{self.platform.port}"
 
-    async def start(self, nodes):
+    async def start(self, nodes, zone=None, own_ways=False):
+        """Start the store and the nodes.
+
+        :param zone: zone of all nodes. Two nodes of a zone read the store themselves, so by default
+            only two are in each zone
+        :param own_ways: whether each node has a proxy of its own before the store
+        """
         await self.platform.start(self.nursery)
         for number in range(nodes):
-            # Two nodes of a zone read the store themselves, so all nodes of a script do.
-            node = Node(self, number, f"z{number // 2}")
+            way = None
+            if own_ways:
+                way = FaultProxy("127.0.0.1", self.platform.port)
+                await way.start(self.nursery)
+            node = Node(self, number, zone or f"z{number // 2}", way)
             self.nodes.append(node)
             node.start()
             self.nursery.start_soon(node.supervise)
