--- a/review/2/case.py
+++ b/review/2/case.py
@@ -87,6 +87,7 @@
     cut_as_complete = whole = failed = 0
     for number in range(REQUESTS):
         request_id = f"9c41d07b{number:08}".encode()
+        record.write("sent", request=request_id.decode(), bytes=BODY_BYTES)
         try:
             with trio.fail_after(6):
                 status, fields, body = await rigs_.call(
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -42,9 +42,10 @@
     while True:
         request_id = f"9c41d07b{next(numbers):08}".encode()
         sent_at[request_id] = trio.current_time()
+        rig.record.write("sent", request=request_id.decode())
         try:
             with trio.fail_after(5):
-                await rigs_.call(
+                status, fields, _ = await rigs_.call(
                     node.ip,
                     node.front,
                     b"POST",
@@ -52,6 +53,8 @@
                     consumer_fields(request_id),
                     b'{"release": 1}',
                 )
+            stamp = fields.get(b"x-server-stamp", b"").decode()
+            rig.record.write("answered", request=request_id.decode(), status=status, stamp=stamp)
         except (OSError, trio.BrokenResourceError, trio.TooSlowError):
             rig.record.write("no answer", request=request_id.decode())
         await trio.sleep(0.02)
