Refuse status reports of servers that are no object or lack their count

Cause: a report such as [] or one nested deeply raised TypeError or RecursionError in the order of layers, which ended the node that held the layout lease, and then the next one. In a stalled stream, a row that is no object raised AttributeError. Change: both readers parse a report as an object and read its count by type and range; malformed rows of stalled requests are ignored.

--- a/basilwinch/chains/controller.py
+++ b/basilwinch/chains/controller.py
@@ -1,13 +1,12 @@
 """Layout controller: plans chains and orders servers to load layers, on one node at a time."""
 
-import json
-
 import structlog
 import trio
 
 from basilwinch.chains.layout import ChainMember, plan_chains
 from basilwinch.chains.record import decode_layout, encode_layout
-from basilwinch.exception import Failure, ServerError
+from basilwinch.document import parse_object
+from basilwinch.exception import DocumentError, Failure, ServerError
 from basilwinch.store import Compare, KeyValue
 
 __all__ = ["LAYOUT_PREFIX", "LayoutController"]
@@ -231,7 +230,7 @@
                 accepted_count = self._dialect.read_accepted_orders(report)
                 order = self._dialect.build_layer_order(member.first, member.end, accepted_count)
                 status, _ = await self._call(entry, order)
-        except (ServerError, trio.TooSlowError, ValueError, KeyError) as error:
+        except (ServerError, trio.TooSlowError, DocumentError) as error:
             status = 0
             reason = repr(error)
             self._pending_orders[entry.id] = (
@@ -256,7 +255,7 @@
 
     async def _fetch_report(self, entry) -> dict:
         _, body = await self._call(entry, self._dialect.build_report_request())
-        return json.loads(body)
+        return parse_object(body, "report")
 
     async def _call(self, entry, request) -> tuple[int, bytes]:
         # On a new connection: the server may have closed an idle one without notice, and the
--- a/basilwinch/chains/tests/test_controller.py
+++ b/basilwinch/chains/tests/test_controller.py
@@ -7,8 +7,10 @@
 import trio
 import trio.testing
 
+from basilwinch import platform
 from basilwinch.chains import FleetLoad, plan_chains
 from basilwinch.chains.controller import LAYOUT_PREFIX, LayoutController
+from basilwinch.standin.malformed import UNREADABLE
 from basilwinch.store import Compare, KeyValue, StoreHistory, Transaction
 from basilwinch.view import CallerLimits, Configuration, Service, View
 
@@ -123,3 +125,32 @@
     assert not any(member[0] == server.id for chain in rows for member in chain)
     errors = [line for line in lines if line["log_level"] == "error"]
     assert [(line["server"], line["kind"]) for line in errors] == [(server.id, "never-seen")]
+
+
+class ReportingPool:
+    """Answers report queries with a body, and counts the orders."""
+
+    def __init__(self, body):
+        self.body = body
+        self.orders = 0
+
+    async def call(self, address, request, max_body_bytes, fresh=False):
+        if request[0] == b"POST":
+            self.orders += 1
+            return 202, b""
+        return 200, self.body
+
+
+@pytest.mark.parametrize("body", [*UNREADABLE, b"[]", b"null", b"{}", b'{"sequence": 1e999}'])
+def test_malformed_report_of_a_server_ends_no_controller_and_causes_no_order(view, body):
+    """Guards against one server that ends each node that holds the lease of the layout."""
+    pool = ReportingPool(body)
+
+    async def main():
+        load = FleetLoad(trio.current_time)
+        controller = LayoutController(view, Store(), platform.Dialect(), pool, load)
+        with trio.move_on_after(3):
+            await controller.run(Lease())
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    assert not pool.orders
--- a/basilwinch/document.py
+++ b/basilwinch/document.py
@@ -9,7 +9,7 @@
 
 from basilwinch.exception import MALFORMED_DOCUMENT, DocumentError
 
-__all__ = ["MAX_INTEGER", "Fields", "parse_address", "parse_document", "parse_ip"]
+__all__ = ["MAX_INTEGER", "Fields", "parse_address", "parse_document", "parse_ip", "parse_object"]
 
 MAX_INTEGER = (1 << 53) - 1  # a JSON number up to here has an exact value in any language
 _MAX_NUMBER = float(MAX_INTEGER)
@@ -33,6 +33,21 @@
         raise _malformed(f"not readable as JSON: {error!r}") from None
 
 
+def parse_object(data: bytes, name: str) -> dict:
+    """Parse a JSON document that is an object.
+
+    :param name: name of the document, for errors
+    :raises DocumentError: as :func:`parse_document`, also if it is no object
+
+    >>> parse_object(b"[]", "report")
+    Traceback (most recent call last):
+    basilwinch.exception.DocumentError: malformed_document: report: expected an object, got a list
+    """
+    value = parse_document(data)
+    Fields(value, name)
+    return value
+
+
 def parse_address(text: str) -> tuple[str, int]:
     """Return the IP address and the port of an address.
 
--- a/basilwinch/forward/reports.py
+++ b/basilwinch/forward/reports.py
@@ -1,11 +1,10 @@
 """Reports of servers, queried once for all requests that need them at the same time."""
 
-import json
-
 import structlog
 import trio
 
-from basilwinch.exception import SERVER_UNREACHABLE, Failure, ServerError
+from basilwinch.document import parse_object
+from basilwinch.exception import SERVER_UNREACHABLE, DocumentError, Failure, ServerError
 from basilwinch.forward.coalescing_cache import CoalescingCache
 
 __all__ = ["ServerReports"]
@@ -44,13 +43,8 @@
                 _, body = await self._pool.call(
                     server.address, request, _MAX_REPORT_BYTES, fresh=True
                 )
-            report = json.loads(body)
-            return (
-                report
-                if isinstance(report, dict)
-                else self._fail(server, "expected a JSON object as report, got another JSON value")
-            )
-        except (ServerError, trio.TooSlowError, ValueError) as error:
+            return parse_object(body, "report")
+        except (ServerError, trio.TooSlowError, DocumentError) as error:
             return self._fail(server, repr(error))
 
     def _fail(self, server, reason: str) -> Failure:
--- a/basilwinch/forward/tests/test_reports.py
+++ b/basilwinch/forward/tests/test_reports.py
@@ -1,11 +1,16 @@
 """Tests of the reports of servers."""
 
+import contextlib
+
 import pytest
 import trio
 import trio.testing
 
-from basilwinch.exception import SERVER_UNREACHABLE, Failure, ServerError
+from basilwinch import platform
+from basilwinch.document import parse_object
+from basilwinch.exception import SERVER_UNREACHABLE, DocumentError, Failure, ServerError
 from basilwinch.forward.reports import ServerReports
+from basilwinch.standin.malformed import UNREADABLE, list_malformed
 from basilwinch.view import ServerEntry
 
 
@@ -16,13 +21,14 @@
         self.calls = 0
         self.down = False
         self.dropped = False
+        self.body = b'{"stalled": []}'
 
     async def call(self, address, request, max_body_bytes, fresh=False):
         self.calls += 1
         await trio.sleep(0.01)
         if self.down or (self.dropped and not fresh):
             raise ServerError(SERVER_UNREACHABLE.because("reset"))
-        return 200, b'{"stalled": []}'
+        return 200, self.body
 
 
 class Dialect:
@@ -78,3 +84,21 @@
     notice, for a crashed head."""
     pool.dropped = True
     assert _fetch_together(pool, server, 1) == [{"stalled": []}]
+
+
+@pytest.mark.parametrize("body", [*UNREADABLE, b"[]", b"1e999"])
+def test_malformed_report_is_a_failure_of_its_server(pool, server, body):
+    """Guards against an error that ends the request which asked for the report."""
+    pool.body = body
+    (report,) = _fetch_together(pool, server, 1)
+    assert isinstance(report, Failure)
+
+
+def test_malformed_rows_of_a_report_blame_no_server():
+    """Guards against a report that ends a stalled request, or has a sound server left out."""
+    rows = [{"id": "a", "address": "10.0.0.2:80"}, {"id": "b", "address": "10.0.0.3:80"}]
+    for value in list_malformed({"stalled": rows}):
+        with contextlib.suppress(DocumentError):
+            report = parse_object(value, "report")
+            address = platform.Dialect().find_stalled_server(report, b"b")
+            assert address is None or isinstance(address, str)
--- a/basilwinch/platform/dialect.py
+++ b/basilwinch/platform/dialect.py
@@ -4,6 +4,7 @@
 import math
 import re
 
+from basilwinch.document import Fields
 from basilwinch.forward.message import CallerRequest, ServerLoad
 
 __all__ = ["Dialect"]
@@ -207,21 +208,25 @@
     def read_accepted_orders(self, report: dict) -> int:
         """Return the number of orders that a server has accepted since it started.
 
-        :raises KeyError: if the report lacks the number
+        :raises DocumentError: if the report lacks the number
         """
         # "sequence" counts heartbeats in the entry of a server, but accepted orders in its report.
-        return report["sequence"]
+        return Fields(report, "report").read_integer("sequence", 0)
 
     def find_stalled_server(self, report: dict, request_id: bytes) -> str | None:
         """Return host:port of the chain member that a request waits for, or None.
 
+        Malformed rows are ignored: that a server's report is faulty blames no other one.
+
         :param report: report of the first server of the chain
         :param request_id: id of the request
         """
         # In this list "id" identifies a request, not a server.
-        for row in report.get("stalled") or ():
-            if row.get("id") == request_id.decode("latin-1"):
-                return row.get("address")
+        rows = report.get("stalled")
+        for row in rows if isinstance(rows, list) else ():
+            if isinstance(row, dict) and row.get("id") == request_id.decode("latin-1"):
+                address = row.get("address")
+                return address if isinstance(address, str) else None
         return None
 
 
