Treat numbers of more than 18 digits in fields of requests and answers as malformed

Cause: a number of 400 digits in X-Server-Load or Keep-Alive of a server's answer, or in X-Deadline-Ms or X-Token-Count of a request, raised OverflowError, one of 5,000 digits ValueError, also in Last-Event-Id. The caller's connection was closed without an answer. Change: one function reads such numbers; what is longer than 64 bits is malformed, as text is. The daemon's gateway uses it too; it failed on digits that are not ASCII.

--- a/basilwinch/forward/events.py
+++ b/basilwinch/forward/events.py
@@ -1,5 +1,7 @@
 """Parsing of the server-sent events of a stream."""
 
+from basilwinch.number import parse_digits
+
 __all__ = ["EventSplitter", "read_event_id"]
 
 
@@ -44,6 +46,5 @@
     """
     for line in event.split(b"\n"):
         if line.startswith(b"id:"):
-            text = line[3:].strip()
-            return int(text) if text.isdigit() else None
+            return parse_digits(line[3:].strip())
     return None
--- a/basilwinch/forward/stream.py
+++ b/basilwinch/forward/stream.py
@@ -21,6 +21,7 @@
 from basilwinch.forward.events import EventSplitter, read_event_id
 from basilwinch.forward.outcome import Answered, NotRun, OutcomeUnknown
 from basilwinch.forward.stall import StallDetector
+from basilwinch.number import parse_digits
 from basilwinch.record import Record
 
 __all__ = ["StreamForwarder"]
@@ -91,8 +92,7 @@
         self._components = components
         self._context = context
         self._rng = rng
-        event_id = context.info.last_event_id
-        self._last_id = int(event_id) if event_id.isdigit() else None
+        self._last_id = parse_digits(context.info.last_event_id)
         self._avoid: set[str] = set()
         self._attempts = 0
         self._runs = 0  # attempts in which the request may have run
--- a/basilwinch/gateway/application.py
+++ b/basilwinch/gateway/application.py
@@ -19,6 +19,7 @@
 from basilwinch.gateway.identity import KeyIndex, RequestIds
 from basilwinch.gateway.metrics import GatewayMetrics
 from basilwinch.gateway.plain import PlainHandler
+from basilwinch.number import parse_digits
 from basilwinch.record import Record
 
 __all__ = ["Gateway", "GatewayConfig", "NodeView"]
@@ -230,10 +231,11 @@
     text = exchange.get_header(b"x-deadline-ms")
     if not text:
         return default_s
-    if not text.isdigit() or int(text) == 0:
+    milliseconds = parse_digits(text)
+    if not milliseconds:
         reason = f"X-Deadline-Ms: expected a positive whole number of milliseconds, got {text!r}"
         raise CallerError(MALFORMED_REQUEST.because(reason))
-    return int(text) / 1000
+    return milliseconds / 1000
 
 
 def _list_models(catalog, organisation) -> dict:
--- a/basilwinch/gateway/exchange.py
+++ b/basilwinch/gateway/exchange.py
@@ -12,6 +12,7 @@
     CallerError,
     Failure,
 )
+from basilwinch.number import parse_digits
 
 __all__ = ["CallerDisconnected", "Exchange", "render_error", "run_lifespan"]
 
@@ -72,7 +73,7 @@
         :raises CallerDisconnected: if the caller disconnects first
         """
         declared = self.get_header(b"content-length")
-        if declared.isdigit() and int(declared) > limit:
+        if (parse_digits(declared) or 0) > limit:
             raise CallerError(
                 BODY_TOO_LARGE.because(f"body of {declared} bytes; the limit is {limit} bytes")
             )
--- a/basilwinch/platform/dialect.py
+++ b/basilwinch/platform/dialect.py
@@ -6,6 +6,7 @@
 
 from basilwinch.document import Fields
 from basilwinch.forward.message import CallerRequest, ServerLoad
+from basilwinch.number import parse_digits
 
 __all__ = ["Dialect"]
 
@@ -161,9 +162,8 @@
     def read_server_load(self, headers: dict[bytes, bytes]) -> ServerLoad | None:
         """Return the load that a server reports in its header, or None if missing or malformed."""
         parts = headers.get(b"x-server-load", b"").split(b",")
-        if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
-            return None
-        return ServerLoad(*(int(part) for part in parts))
+        numbers = [_parse_number(part) for part in parts]
+        return None if len(numbers) != 3 or None in numbers else ServerLoad(*numbers)
 
     def read_server_limit(self, headers: dict[bytes, bytes]) -> float | None:
         """Return the requests a second that a server takes from all nodes together.
@@ -237,8 +237,7 @@
 
 
 def _parse_number(text: bytes) -> int | None:
-    text = text.strip()
-    return int(text) if text.isdigit() else None
+    return parse_digits(text.strip())
 
 
 def _parse_shared_parts(text: bytes) -> tuple[str, ...]:
--- a/basilwinch/platform/tests/standin.py
+++ b/basilwinch/platform/tests/standin.py
@@ -49,6 +49,7 @@
         self.crashing_parts: set[bytes] = set()
         self.limit: bytes | None = None  # requests per second that its answers name
         self.retry_after: bytes | None = None  # sent with the 503 of the fault "full"
+        self.extra_header: list[tuple[bytes, bytes]] = []  # sent with each of its answers
         self.names_leaving = False  # whether its answers say that it leaves
         self.run_times: list[float] = []
         self.refused_at: list[float] = []  # times of the 503 of the fault "full"
@@ -363,7 +364,7 @@
     async def _run(self, server, exchange) -> None:
         request_id = exchange.headers[b"x-request-id"]
         fault = server.faults.pop(0) if server.faults else ""
-        header = [(b"X-Request-Id", request_id)]
+        header = [(b"X-Request-Id", request_id), *server.extra_header]
         if server.limit is not None:
             header.append((b"Server-Limit", server.limit))
         if server.names_leaving:
--- a/basilwinch/platform/tests/test_server_answers.py
+++ b/basilwinch/platform/tests/test_server_answers.py
@@ -72,3 +72,51 @@
         assert await send_many(site, method, path, 3, TOKENS) == [200] * 3
 
     run_with(test)
+
+
+@pytest.mark.parametrize("digits", [b"9" * 400, b"9" * 5000, b"\xb2", b"-1", b"1e999"])
+@pytest.mark.parametrize(("method", "path"), [(b"GET", b"/safe/a"), (b"POST", b"/s/a")])
+def test_malformed_numbers_of_a_server_leave_its_answer_whole(run_with, digits, method, path):
+    """Guards against an answer that is lost because of a number that no float or int can hold."""
+
+    async def test(site):
+        for server in site.platform.servers:
+            server.extra_header = [
+                (b"X-Server-Load", b"1,2," + digits),
+                (b"Keep-Alive", b"timeout=" + digits),
+                (b"Server-Limit", digits),
+                (b"Retry-After", digits),
+                (b"X-Weight-Versions", digits),
+            ]
+        assert await send_many(site, method, path, 6, TOKENS) == [200] * 6
+
+    run_with(test)
+
+
+@pytest.mark.parametrize("digits", [b"9" * 400, b"9" * 5000])
+@pytest.mark.parametrize(("method", "path"), [(b"GET", b"/safe/a"), (b"POST", b"/s/a")])
+def test_malformed_numbers_of_a_caller_do_not_end_its_connection(run_with, digits, method, path):
+    """Guards against a request that is read and gets no answer at all."""
+    names = (b"X-Deadline-Ms", b"X-Token-Count", b"X-Length-Hint", b"X-Prompt-Prefix")
+
+    async def test(site):
+        for name in names:
+            value = b"5," + digits if name == b"X-Token-Count" else digits
+            header = [(name, value)] + (TOKENS if name != b"X-Token-Count" else [])
+            status, _, _ = await site.call(method, path, b"r-" + name, headers=header)
+            assert status == 200
+
+    run_with(test)
+
+
+def test_long_number_of_the_last_event_does_not_end_the_connection(run_with):
+    """Guards against a stream that is resumed and gets no answer at all."""
+
+    async def test(site):
+        for server in site.platform.servers:
+            server.faults = ["nameless"]
+        header = [*TOKENS, (b"Last-Event-Id", b"9" * 5000)]
+        status, _, _ = await site.call(b"POST", b"/s/a", b"r", headers=header)
+        assert status
+
+    run_with(test)
--- a/basilwinch/wire/client.py
+++ b/basilwinch/wire/client.py
@@ -13,6 +13,7 @@
     Failure,
     ServerError,
 )
+from basilwinch.number import parse_digits
 
 __all__ = [
     "ServerConnection",
@@ -319,9 +320,10 @@
     for name, value in response.headers:
         for part in value.split(b",") if name == b"keep-alive" else ():
             field, _, number = part.strip().partition(b"=")
-            if field.lower() == b"timeout" and number.isdigit():
+            timeout_s = parse_digits(number)
+            if field.lower() == b"timeout" and timeout_s is not None:
                 # Half of the server's timeout, as the server started its timer earlier.
-                return int(number) / 2
+                return timeout_s / 2
     return None
 
 
