Take no answer without a length for whole after its connection was lost

Cause: the system tells the loss of a connection once. While a long body is sent, a send and a receive wait side by side; the receive suppressed its error and passed on an end, and a send that took the error left the receive an end without one. Change: a failed send is remembered, and an end after it is a loss. Answers with a length or in chunks are whole by their framing, as before.

--- a/basilwinch/wire/client.py
+++ b/basilwinch/wire/client.py
@@ -127,6 +127,7 @@
         "_is_fresh",
         "_protocol",
         "_unsent",
+        "_is_send_failed",
         "idle_since",
         "server_max_idle_s",
         "is_reused",
@@ -141,6 +142,7 @@
         self._is_fresh = True
         self._protocol = h11.Connection(h11.CLIENT)
         self._unsent = None
+        self._is_send_failed = False
         self.idle_since = 0.0
         self.server_max_idle_s: float | None = None
         #: Whether it has carried an earlier request, of which another answer may still arrive.
@@ -266,9 +268,15 @@
             raise ServerError(self._outcome_unknown(error)) from None
 
     async def _receive(self) -> bytes:
-        """Receive bytes, and report the first ones or the end before them."""
+        """Receive bytes, and report the first ones or the end before them.
+
+        :raises OSError: if the connection is lost. The system tells that once: if a send has
+            failed before, the end that follows it is not the server's
+        """
         try:
             data = await self._sock.recv(_READ_CHUNK_BYTES)
+            if not data and self._is_send_failed:
+                raise ConnectionResetError("the connection ended after a send on it had failed")
         except OSError:
             self._report_result(False)
             raise
@@ -281,25 +289,33 @@
         self._awaits_result = self._is_fresh = False
 
     async def _send_while_receiving(self) -> None:
-        """Send the rest of a long body until the first bytes of the response arrive."""
+        """Send the rest of a long body until the first bytes of the response arrive.
+
+        :raises OSError: if the connection is lost before
+        """
+        failures: list[OSError] = []
         async with trio.open_nursery() as nursery:
 
             async def receive():
-                data = b""
-                with contextlib.suppress(OSError):
-                    data = await self._receive()
-                # Passed to h11 at once: the waiting task may be cancelled before the nursery ends,
-                # and the bytes would be lost.
-                self._protocol.receive_data(data)
+                try:
+                    # Passed to h11 at once: the waiting task may be cancelled before the nursery
+                    # ends, and the bytes would be lost.
+                    self._protocol.receive_data(await self._receive())
+                except OSError as error:
+                    failures.append(error)
                 nursery.cancel_scope.cancel()
 
             nursery.start_soon(receive)
             # A server that has already responded may close the connection without reading the rest.
-            with contextlib.suppress(BrokenPipeError, ConnectionResetError):
+            try:
                 while self._unsent:
                     sent = await self._sock.send(self._unsent[:_READ_CHUNK_BYTES])
                     self._unsent = self._unsent[sent:]
                 self._unsent = None
+            except OSError:
+                self._is_send_failed = True
+        if failures:
+            raise failures[0]
 
     async def _send_all(self, data: bytes) -> None:
         view = memoryview(data)
--- a/basilwinch/wire/tests/test_client.py
+++ b/basilwinch/wire/tests/test_client.py
@@ -6,7 +6,7 @@
 import trio.testing
 
 from basilwinch.exception import ServerError
-from basilwinch.wire.client import ServerConnection
+from basilwinch.wire.client import ServerConnection, connect, drop_unsent_on_close
 from basilwinch.wire.pool import ConnectionPool
 
 _LONG_BODY = b"x" * 100_000
@@ -162,3 +162,122 @@
             await connection.receive_body(1 << 20)
 
     run(test)
+
+
+class LosingSocket:
+    """A socket that breaks after the first bytes of a response.
+
+    As the system does, it tells its loss once, to ``teller``; a receive after that returns an end.
+
+    :param response: bytes that arrive before
+    :param teller: ``send`` or ``recv``, the call that fails; None if the server ends in order
+    :param error: the failure
+    """
+
+    def __init__(self, response, teller, error=None):
+        self._parts = [response]
+        self._teller = teller
+        self._error = error
+        self._lost = trio.Event()
+
+    async def recv(self, count):
+        if self._parts:
+            return self._parts.pop(0)
+        if self._teller == "send":
+            await self._lost.wait()
+        await trio.lowlevel.checkpoint()
+        if self._teller == "recv":
+            raise self._error
+        return b""
+
+    async def send(self, data):
+        await trio.lowlevel.checkpoint()
+        if self._parts:
+            return min(len(data), 1000)
+        if self._teller != "send":
+            await trio.sleep_forever()
+        self._lost.set()
+        raise self._error
+
+    def setsockopt(self, level, option, value):
+        pass
+
+    def close(self):
+        pass
+
+
+_LOSSES = [ConnectionResetError(104, "reset"), BrokenPipeError(32, "pipe"), TimeoutError(110, "t")]
+_PARTIAL = b"HTTP/1.1 200 OK\r\n\r\npart"
+
+
+async def _receive_answer(sock):
+    connection = ServerConnection(sock, "10.0.0.1", 1)
+    await connection.send(b"POST", b"/", [(b"Content-Length", b"100000")], _LONG_BODY)
+    await connection.receive_head()
+    return await connection.receive_body(100)
+
+
+@pytest.mark.parametrize("teller", ["send", "recv"])
+@pytest.mark.parametrize("error", _LOSSES, ids=lambda error: type(error).__name__)
+def test_response_without_length_is_incomplete_if_its_connection_is_lost(run, teller, error):
+    """Guards against a cut response that is passed on as a whole one."""
+
+    async def test():
+        with pytest.raises(ServerError):
+            await _receive_answer(LosingSocket(_PARTIAL, teller, error))
+
+    run(test)
+
+
+def test_response_without_length_is_complete_at_an_end_in_order(run):
+    """Guards against a whole response that is refused because the body was not read to its end."""
+
+    async def test():
+        assert await _receive_answer(LosingSocket(_PARTIAL, None)) == b"part"
+
+    run(test)
+
+
+@pytest.mark.parametrize("teller", ["send", "recv"])
+def test_response_with_length_is_complete_though_the_server_reads_no_more(run, teller):
+    """Guards against a whole response that is refused because the rest of a body was not sent."""
+
+    async def test():
+        sock = LosingSocket(_RESPONSE, teller, ConnectionResetError(104, "reset"))
+        assert await _receive_answer(sock) == b"ok"
+
+    run(test)
+
+
+@pytest.mark.parametrize("body_bytes", [10, 20_000, 4_000_000])
+@pytest.mark.parametrize("unread", [True, False])
+def test_reset_response_without_length_is_incomplete(body_bytes, unread):
+    """Guards against a cut response that is passed on as a whole one, with real connections.
+
+    :param unread: whether the server leaves a part of the body unread, so that its close resets
+    """
+
+    async def answer(stream):
+        read = 0
+        while read < min(body_bytes, 9_000 if unread else body_bytes):
+            read += len(await stream.receive_some(9_000))
+        await stream.send_all(_PARTIAL)
+        await trio.sleep(0.02)
+        drop_unsent_on_close(stream.socket)
+        await stream.aclose()
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            listeners = await nursery.start(trio.serve_tcp, answer, 0)
+            port = listeners[0].socket.getsockname()[1]
+            for _ in range(10):
+                connection = await connect("127.0.0.1", port, 1.0)
+                header = [(b"Content-Length", b"%d" % body_bytes)]
+                with pytest.raises(ServerError), trio.fail_after(5):
+                    await connection.send(b"POST", b"/", header, b"x" * body_bytes)
+                    await connection.receive_head()
+                    await connection.receive_body(100)
+                connection.close()
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
