Let a carrier tell no orderly end after a send to the server has failed

Change: the end frame is kept back after a failed send. The carrier then closes its side in order, so that an answer with a length that the server had sent still arrives whole.

--- a/basilwinch/tunnel/listener.py
+++ b/basilwinch/tunnel/listener.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import itertools
+import socket
 
 import structlog
 import trio
@@ -150,44 +151,72 @@
 
     async def _copy(self, origin, server, number: int) -> None:
         """Copy in both directions until one side ends."""
+        requests = _RequestCopy(server)
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._copy_requests, origin, server, number, nursery.cancel_scope)
-            nursery.start_soon(self._copy_responses, server, origin, number, nursery.cancel_scope)
+            scope = nursery.cancel_scope
+            nursery.start_soon(self._copy_requests, origin, requests, number, scope)
+            nursery.start_soon(self._copy_responses, requests, origin, number, scope)
 
-    async def _copy_requests(self, origin, server, number: int, scope) -> None:
+    async def _copy_requests(self, origin, requests: "_RequestCopy", number: int, scope) -> None:
         """Copy until the origin closes the tunnel, which it does only as a whole."""
-        server_reads = True
         with contextlib.suppress(OSError):
             while data := await origin.recv(_READ_CHUNK_BYTES):
                 self._active[number] = self._clock()
-                if server_reads:
-                    server_reads = await _try_send(server, data)
+                await requests.send(data)
         # What the server has not received belongs to a request that the origin has given up.
-        drop_unsent_on_close(server)
+        drop_unsent_on_close(requests.server)
         scope.cancel()
 
-    async def _copy_responses(self, server, origin, number: int, scope) -> None:
+    async def _copy_responses(self, requests: "_RequestCopy", origin, number: int, scope) -> None:
         """Copy until the server's connection ends, and tell the origin how it ended."""
-        try:
-            while data := await server.recv(_READ_CHUNK_BYTES):
-                self._active[number] = self._clock()
-                await _send_all(origin, encode_frames(data))
-            await _send_all(origin, END_FRAME)
+        with contextlib.suppress(OSError):
+            if await self._relay_responses(requests, origin, number):
+                await _send_all(origin, END_FRAME)
+            # Without the end frame, the origin takes the connection for broken.
+            origin.shutdown(socket.SHUT_WR)
             # The origin reads the rest and closes the tunnel, which ends the other task.
             await trio.sleep(_QUIET_S)
-        except OSError:
-            # Without the end frame, the origin takes the connection for broken.
-            drop_unsent_on_close(origin)
         scope.cancel()
 
+    async def _relay_responses(self, requests: "_RequestCopy", origin, number: int) -> bool:
+        """Copy until the server's connection ends; return whether the server has ended it.
+
+        :raises OSError: if the connection to the origin is lost
+        """
+        while True:
+            try:
+                data = await requests.server.recv(_READ_CHUNK_BYTES)
+            except OSError:
+                return False
+            if not data:
+                return not requests.has_failed
+            self._active[number] = self._clock()
+            await _send_all(origin, encode_frames(data))
+
 
-async def _try_send(server, data: bytes) -> bool:
-    """Send to a server; return False if it no longer reads, though it may have responded."""
-    try:
-        await _send_all(server, data)
-    except OSError:
-        return False
-    return True
+class _RequestCopy:
+    """The copy of requests to a server.
+
+    The system tells the loss of a connection once. If a send has failed, the end that a receive
+    returns after it is not the server's.
+
+    :param server: trio socket to the server
+    """
+
+    __slots__ = ("server", "has_failed")
+
+    def __init__(self, server):
+        self.server = server
+        self.has_failed = False
+
+    async def send(self, data: bytes) -> None:
+        """Send to the server, unless it no longer reads; it may have responded nevertheless."""
+        if self.has_failed:
+            return
+        try:
+            await _send_all(self.server, data)
+        except OSError:
+            self.has_failed = True
 
 
 async def _receive_line(sock) -> bytes:
--- a/basilwinch/tunnel/tests/test_tunnel.py
+++ b/basilwinch/tunnel/tests/test_tunnel.py
@@ -7,7 +7,7 @@
 
 from basilwinch.exception import SERVER_UNREACHABLE, TUNNEL_UNAVAILABLE, ServerError
 from basilwinch.tunnel.tests.conftest import ORIGIN_IP
-from basilwinch.wire import ConnectionPool
+from basilwinch.wire import ConnectionPool, drop_unsent_on_close
 
 REQUEST = (b"POST", b"/x", [(b"Content-Length", b"4")], b"body")
 BODY = b"event " * 30000  # more than one frame
@@ -74,6 +74,62 @@
     run_path(test)
 
 
+def make_early_answer(head: bytes, body: bytes, read_bytes: int):
+    """Return a server that answers before it has read a long body, and then resets."""
+
+    async def answer(stream):
+        read = 0
+        while read < read_bytes and (part := await stream.receive_some()):
+            read += len(part)
+        await stream.send_all(b"HTTP/1.1 200 OK\r\n" + head + b"\r\n" + body)
+        await trio.sleep(0.1)
+        drop_unsent_on_close(stream.socket)
+
+    return answer
+
+
+async def call_with_body(connection, body_bytes: int, pause_s: float = 0.0) -> bytes:
+    header = [(b"Content-Length", b"%d" % body_bytes)]
+    await connection.send(b"POST", b"/x", header, b"x" * body_bytes)
+    await connection.receive_head()
+    await trio.sleep(pause_s)
+    return await connection.receive_body(1 << 20)
+
+
+@pytest.mark.parametrize("body_bytes", [10, 20_000, 4_000_000])
+def test_response_is_broken_if_the_server_resets_before_it_has_read_the_body(run_path, body_bytes):
+    """Guards against a cut response that looks complete, as a send of the carrier has taken the
+    reset."""
+
+    async def test(path):
+        await path.start_server(make_early_answer(b"", b"half", min(body_bytes, 9_000)))
+        await path.start_carrier(1)
+        for _ in range(10):
+            connection = await path.open()
+            with pytest.raises(ServerError):
+                await call_with_body(connection, body_bytes)
+            connection.close()
+
+    run_path(test)
+
+
+@pytest.mark.parametrize("body_bytes", [10, 20_000, 4_000_000])
+def test_response_with_length_arrives_though_the_server_resets_after_it(run_path, body_bytes):
+    """Guards against a whole response that the carrier drops on its way to a slow origin."""
+
+    async def test(path):
+        body = BODY * 5
+        head = b"Content-Length: %d\r\n" % len(body)
+        await path.start_server(make_early_answer(head, body, min(body_bytes, 9_000)))
+        await path.start_carrier(1)
+        for _ in range(3):
+            connection = await path.open()
+            assert await call_with_body(connection, body_bytes, pause_s=0.3) == body
+            connection.close()
+
+    run_path(test)
+
+
 def test_response_is_broken_if_the_carrier_ends(run_path):
     """Guards against a response that looks complete because its carrier has died."""
 
