Daemon: take no reply for whole after a write on its connection has failed

Cause: httpcore ignores a failed write, as the server may have replied already; the read after it returns an end, and a cut reply without a length looked whole. 5 of 5 calls of 4 MB came back cut. Change: a network backend whose streams remember a failed write and refuse the end after it.

--- a/basilwinch/server/engine.py
+++ b/basilwinch/server/engine.py
@@ -12,6 +12,7 @@
 from basilwinch.pipeline import TokenFrame
 from basilwinch.server.call import EngineCall, ServerOrder, ServerOrderReply
 from basilwinch.server.connection import send_request, translate_errors
+from basilwinch.server.network import ReplyEndBackend
 
 __all__ = ["HttpEngineClient"]
 
@@ -55,7 +56,10 @@
         :param max_connections: largest number of open connections; each stream uses one
         """
         pool = httpcore.AsyncConnectionPool(
-            max_connections=max_connections, max_keepalive_connections=256, keepalive_expiry=30.0
+            max_connections=max_connections,
+            max_keepalive_connections=256,
+            keepalive_expiry=30.0,
+            network_backend=ReplyEndBackend(),
         )
         return cls(find_server, pool)
 
--- a/basilwinch/server/plain.py
+++ b/basilwinch/server/plain.py
@@ -5,6 +5,7 @@
 from basilwinch.catalog import Server
 from basilwinch.server.call import ServiceCall, ServiceReply
 from basilwinch.server.connection import send_request
+from basilwinch.server.network import ReplyEndBackend
 
 __all__ = ["HttpServiceClient"]
 
@@ -47,7 +48,9 @@
         :param max_connections: largest number of open connections
         """
         pool = httpcore.AsyncConnectionPool(
-            max_connections=max_connections, max_keepalive_connections=0
+            max_connections=max_connections,
+            max_keepalive_connections=0,
+            network_backend=ReplyEndBackend(),
         )
         return cls(pool)
 
