Reset the connection of an HTTP/1.0 caller whose response is given up

Cause: a response of unknown length ends with the connection for callers of HTTP/1.0. A stream that was given up closed it in order, which looks like the end of a whole response. Change: such a connection is reset. Responses in chunks lack their last chunk, as before.

--- a/basilwinch/wire/server.py
+++ b/basilwinch/wire/server.py
@@ -6,6 +6,8 @@
 import structlog
 import trio
 
+from basilwinch.wire.client import drop_unsent_on_close
+
 __all__ = ["CallerConnection", "Exchange"]
 
 _READ_CHUNK_BYTES = 65536
@@ -113,10 +115,21 @@
             # An error in the handling of one request must not end the other connections.
             self._log.exception("unexpected error while handling a request")
         finally:
+            if self._is_cut_without_framing():
+                drop_unsent_on_close(self._stream)
             with trio.move_on_after(_CLOSE_TIMEOUT_S) as scope:
                 scope.shield = True
                 await self._stream.aclose()
 
+    def _is_cut_without_framing(self) -> bool:
+        """Return whether an unfinished response would look whole at an end in order.
+
+        Responses of unknown length go in chunks, but to callers of HTTP/1.0 until the connection
+        ends.
+        """
+        is_unfinished = self._protocol.our_state in (h11.SEND_BODY, h11.ERROR)
+        return is_unfinished and (self._protocol.their_http_version or b"1.1") < b"1.1"
+
     async def _serve_request(self) -> bool:
         """Serve one request; return whether the connection stays open."""
         request = await self._receive_request()
--- a/basilwinch/wire/tests/test_server.py
+++ b/basilwinch/wire/tests/test_server.py
@@ -157,3 +157,40 @@
     received, seen = serve(chunks)
     assert received == b"" or received.startswith(b"HTTP/1.1 ")
     assert received.count(b"HTTP/1.1 200") <= len(seen)
+
+
+def receive_cut_response(version: bytes) -> tuple[bytes, bool]:
+    """Read a response that its handler gives up; return its bytes and whether it was reset."""
+    received = bytearray()
+
+    async def give_up(exchange):
+        await exchange.start(200, [])
+        await exchange.send(b"part")
+        await trio.sleep(0.1)
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            listeners = await nursery.start(
+                trio.serve_tcp, lambda s: CallerConnection(s, give_up, lambda: LIMITS).run(), 0
+            )
+            stream = await trio.testing.open_stream_to_socket_listener(listeners[0])
+            await stream.send_all(b"GET /a HTTP/%b\r\nHost: h\r\n\r\n" % version)
+            try:
+                async for data in stream:
+                    received.extend(data)
+                return False
+            except trio.BrokenResourceError:
+                return True
+            finally:
+                nursery.cancel_scope.cancel()
+
+    was_reset = trio.run(main)
+    return bytes(received), was_reset
+
+
+def test_cut_response_looks_whole_to_no_caller():
+    """Guards against a stream that is given up, and looks whole as it ends with its connection."""
+    received, was_reset = receive_cut_response(b"1.0")
+    assert received.endswith(b"part") and was_reset
+    received, _ = receive_cut_response(b"1.1")
+    assert b"part" in received and not received.endswith(b"0\r\n\r\n")
