Derive from the bounds how long a node trusts its reader of the store

Cause: a reader's position was accepted up to an age of 2.0 s and asked for each 0.6 s; the sum is above the bound of 2 s, and no figure was derived from it. Servers that leave come by the same way. Change: view/timing.py derives the age, the questions and the pauses from the tighter of config-apply-ms and drain-ms. The node asks when its proof is about to be too old; checks are timed from begin to begin and end once their changes are applied, so that a sound reader always has a newer proof by then. Settings with a bound of 0 or less are refused.

--- a/basilwinch/entry/node.py
+++ b/basilwinch/entry/node.py
@@ -42,6 +42,7 @@
 from basilwinch.view import CallerLimits, View, read_boot_clock
 from basilwinch.view.shared_watch import SharedWatchStore
 from basilwinch.view.source import ViewSource
+from basilwinch.view.timing import WatchTiming
 from basilwinch.view.watcher import StoreWatcher
 from basilwinch.wire import CallerConnection, ConnectionPool
 
@@ -143,10 +144,17 @@
         reads = SharedReads(
             store.history, f"{settings.name}-{rng.getrandbits(64):016x}", read_boot_clock
         )
+        timing = WatchTiming.from_config(bounds)
         reader_client = ReaderClient(
-            self._readers, settings.ip, settings.peer_port, read_boot_clock
+            self._readers,
+            settings.ip,
+            settings.peer_port,
+            read_boot_clock,
+            timing.answer_timeout_s,
+        )
+        source = source.replace_store(
+            FanoutStore(store, self._readers, reader_client, reads, timing.max_reader_age_s)
         )
-        source = source.replace_store(FanoutStore(store, self._readers, reader_client, reads))
         self._tunnels.protocols[READ_PROTOCOL_LINE] = ReaderServer(reads).serve
         self._store = SharedWatchStore(store)
         self._suspects = SuspectRegistry(
@@ -182,7 +190,7 @@
         self.view.set_peers(self._peers.count_peers, self._peers.request_full_report)
         self._convictions = ConvictionRecords(self._suspects, self._store, rng)
         self._suspects.on_change = self._peers.notify_suspects_changed
-        self._store_watcher = StoreWatcher(source, self.view, rng, read_boot_clock)
+        self._store_watcher = StoreWatcher(source, self.view, rng, read_boot_clock, timing)
         self._store_watcher.node_keys.on_key = self._apply_key
         selection = ServerSelection(settings.zone, clock, rng)
         nodes = self._count_nodes
--- a/basilwinch/entry/settings.py
+++ b/basilwinch/entry/settings.py
@@ -24,6 +24,7 @@
     :param retry_window_s: length of the sliding window of the retry budget, in seconds
     :param retry_slack: further retries allowed in a window, over all nodes
     :param config_apply_s: time after which a new configuration must be in force, in seconds
+    :param drain_s: time after which a server that is leaving must get no more requests, in seconds
     """
 
     __slots__ = (
@@ -34,6 +35,7 @@
         "retry_window_s",
         "retry_slack",
         "config_apply_s",
+        "drain_s",
     )
 
 
--- a/basilwinch/fanout/client.py
+++ b/basilwinch/fanout/client.py
@@ -11,7 +11,6 @@
 __all__ = ["ReaderClient"]
 
 _CONNECT_TIMEOUT_S = 0.3  # a round trip within a zone takes under 2 ms
-_ANSWER_MARGIN_S = 0.5  # added to the wait that a question allows
 _MAX_IDLE_CONNECTIONS = 2  # one waits for changes, the other asks for positions
 
 
@@ -25,15 +24,27 @@
     :param local_ip: own IP address
     :param port: TCP port on which all nodes answer other nodes
     :param clock: function that returns the time in seconds
+    :param answer_timeout_s: time for an answer beyond the wait that a question allows, in seconds
     """
 
-    __slots__ = ("_readers", "_local_ip", "_port", "_clock", "_idle", "_asking", "reader", "_log")
-
-    def __init__(self, readers: Readers, local_ip: str, port: int, clock):
+    __slots__ = (
+        "_readers",
+        "_local_ip",
+        "_port",
+        "_clock",
+        "_answer_timeout_s",
+        "_idle",
+        "_asking",
+        "reader",
+        "_log",
+    )
+
+    def __init__(self, readers: Readers, local_ip: str, port: int, clock, answer_timeout_s: float):
         self._readers = readers
         self._local_ip = local_ip
         self._port = port
         self._clock = clock
+        self._answer_timeout_s = answer_timeout_s
         self._idle: list[ReaderConnection] = []
         self._asking: set[trio.CancelScope] = set()
         self.reader: str | None = None
@@ -48,7 +59,7 @@
         if name is None:
             return None
         reason = "no answer in time"
-        with trio.move_on_after(request.wait_s + _ANSWER_MARGIN_S) as scope:
+        with trio.move_on_after(request.wait_s + self._answer_timeout_s) as scope:
             self._asking.add(scope)
             try:
                 return await self._exchange(name, request)
--- a/basilwinch/fanout/store.py
+++ b/basilwinch/fanout/store.py
@@ -8,9 +8,6 @@
 
 __all__ = ["FanoutStore"]
 
-# A reader whose own position is older than this is cut off from the store, or too busy.
-_MAX_READER_AGE_S = 2.0
-
 
 class FanoutStore:
     """Reads changes and positions through a reader of the zone, and all else from the store.
@@ -24,17 +21,36 @@
     :param readers: choice of readers
     :param client: connections to them
     :param reads: answers of this node to others
+    :param max_reader_age_s: age in seconds above which the position of a reader is not accepted, as
+        the reader is cut off from the store or too busy
     """
 
-    __slots__ = ("history", "scan_at", "_store", "_readers", "_client", "_reads", "_trusted")
-
-    def __init__(self, store, readers: Readers, client: ReaderClient, reads: SharedReads):
+    __slots__ = (
+        "history",
+        "scan_at",
+        "_store",
+        "_readers",
+        "_client",
+        "_reads",
+        "_max_reader_age_s",
+        "_trusted",
+    )
+
+    def __init__(
+        self,
+        store,
+        readers: Readers,
+        client: ReaderClient,
+        reads: SharedReads,
+        max_reader_age_s: float,
+    ):
         self.history = store.history
         self.scan_at = store.scan_at
         self._store = store
         self._readers = readers
         self._client = client
         self._reads = reads
+        self._max_reader_age_s = max_reader_age_s
         # Name and lineage of the reader whose answers are used.
         self._trusted: tuple[str, str] | None = None
         self.history.subscribe(self._begin_history)
@@ -44,13 +60,18 @@
         """Whether this node reads the store itself, as a reader or for want of one."""
         return self._readers.is_reader or self._client.reader is None
 
+    @property
+    def is_reader(self) -> bool:
+        """Whether other nodes may follow the store through this one."""
+        return self._readers.is_reader
+
     async def read_proof(self) -> Proof:
         """Return a position of the store, and how long before this call it was read at most."""
         answer = await self._client.ask(ReadRequest())
         reader = self._client.reader
         if answer is None or reader is None:
             return await self._read_directly()
-        if not answer.known or answer.age_s > _MAX_READER_AGE_S:
+        if not answer.known or answer.age_s > self._max_reader_age_s:
             self._client.avoid_reader(reader, f"last confirmed {answer.age_s:.2f} s ago")
             return await self._read_directly()
         if self._is_trusted(answer):
--- a/basilwinch/fanout/tests/test_store.py
+++ b/basilwinch/fanout/tests/test_store.py
@@ -16,8 +16,11 @@
 from basilwinch.tunnel import Carriers, Reachability, TunnelListener
 from basilwinch.view import View
 from basilwinch.view.tests.standin import Store, make_source
+from basilwinch.view.timing import WatchTiming
 from basilwinch.view.watcher import StoreWatcher
 
+TIMING = WatchTiming.from_bound(2.0)
+
 
 class Access(Store):
     """One node's access to a shared store; ``cut`` makes its calls fail, ``calls`` counts them."""
@@ -44,6 +47,11 @@
         self.calls += 1
         super()._answer()
 
+    async def poll(self, prefix, after, wait_s):
+        changes = await super().poll(prefix, after, wait_s)
+        Store._answer(self)  # a watch that was waiting when the node was cut off brings nothing
+        return changes
+
 
 class Node:
     """A node with its watcher; ``is_paused`` stops its answers, ``offset_s`` moves its clock."""
@@ -61,10 +69,14 @@
     def start(self):
         self.readers = Readers(self.name, "z0")
         self.reads = SharedReads(self.access.history, f"{self.name}-{random.random()}", self.clock)
-        self.client = ReaderClient(self.readers, self.ip, self.port, self.clock)
-        store = FanoutStore(self.access, self.readers, self.client, self.reads)
+        self.client = ReaderClient(
+            self.readers, self.ip, self.port, self.clock, TIMING.answer_timeout_s
+        )
+        store = FanoutStore(
+            self.access, self.readers, self.client, self.reads, TIMING.max_reader_age_s
+        )
         source = make_source(self.access).replace_store(store)
-        self.watcher = StoreWatcher(source, self.view, random.Random(1), self.clock)
+        self.watcher = StoreWatcher(source, self.view, random.Random(1), self.clock, TIMING)
         self.carriers = Carriers("z0", random.Random(2))
         self.listener = TunnelListener(
             Reachability(), None, self.carriers, self.view, self.ip, trio.current_time
@@ -201,6 +213,74 @@
     run_nodes(test)
 
 
+async def measure_delay(store, readers, node, disturb) -> float:
+    """Return the seconds until a node has a change that is made when its readers fail.
+
+    They fail right after they have confirmed a position, when it looks newest.
+    """
+    newest = max(reader.reads._asked_at for reader in readers)
+    while max(reader.reads._asked_at for reader in readers) == newest:
+        await trio.sleep(0.005)
+    for reader in readers:
+        disturb(reader)
+    start = trio.current_time()
+    store.put("op/config", b"%d" % (node.view.version + 1))
+    version = node.view.version
+    while node.view.version == version:
+        await trio.sleep(0.005)
+    return trio.current_time() - start
+
+
+def cut_off(reader):
+    reader.access.down = True
+
+
+def freeze(reader):
+    reader.is_paused = True
+    reader.access.down = True
+
+
+@pytest.mark.parametrize("disturb", [cut_off, freeze])
+@pytest.mark.parametrize("failing", [1, 2])
+def test_change_is_in_force_in_time_though_the_readers_fail(run_nodes, disturb, failing):
+    """Guards against a node that nothing happens to, and that follows an old configuration because
+    its reader is turned away by the store, or dead."""
+
+    async def test(store, readers, others):
+        node = others[0]
+        store.put("op/config", b"1")
+        await trio.sleep(2.0)
+        asked = [reader for reader in readers if reader.name == node.client.reader]
+        failing_readers = asked if failing == 1 else readers
+        assert await measure_delay(store, failing_readers, node, disturb) < TIMING.apply_s
+
+    run_nodes(test)
+
+
+def test_sound_reader_is_asked_about_once_for_each_of_its_checks(run_nodes):
+    """Guards against sound readers that are left out, and against more questions than proofs."""
+
+    async def test(store, readers, others):
+        questions = 0
+        for reader in readers:
+            answer = reader.answer
+
+            async def count(request, answer=answer):
+                nonlocal questions
+                questions += request.after is None
+                return await answer(request)
+
+            reader.answer = count
+        calls = [node.access.calls for node in others]
+        for number in range(30):
+            store.put(f"servers/s{number}")  # readers are busy applying changes
+            await trio.sleep(0.2)
+        assert [node.access.calls for node in others] == calls
+        assert questions <= 2 * len(others) * 6.0 / TIMING.check_interval_s
+
+    run_nodes(test)
+
+
 def test_restore_of_a_store_without_eras_is_not_hidden_by_a_reader(run_nodes):
     """Guards against a view that is confirmed by a reader of a restored store, whose revisions are
     given out again."""
--- a/basilwinch/platform/settings.py
+++ b/basilwinch/platform/settings.py
@@ -9,8 +9,9 @@
 
 SETTINGS_VARIABLE = "BASILWINCH_SETTINGS"
 _METRICS_PORT = 9464  # the "metrics" port in deploy/system.toml
-# Used if the settings do not name it; the value on both sites of today.
+# Used if the settings do not name them; the values on all sites of today.
 _DEFAULT_CONFIGURATION_APPLY_MS = 2000
+_DEFAULT_DRAIN_MS = 2000
 
 
 def read_settings(path: str) -> EntrySettings:
@@ -65,14 +66,21 @@
             retry_window_s=self._read_number("bounds.retry-window-s"),
             retry_slack=self._read_number("bounds.retry-slack"),
             config_apply_s=seconds_per_ms
-            * self._read_field(
-                "bounds.config-apply-ms", (int, float), _DEFAULT_CONFIGURATION_APPLY_MS
-            ),
+            * self._read_duration("bounds.config-apply-ms", _DEFAULT_CONFIGURATION_APPLY_MS),
+            drain_s=seconds_per_ms * self._read_duration("bounds.drain-ms", _DEFAULT_DRAIN_MS),
         )
 
     def _read_number(self, name: str) -> float:
         return self._read_field(name, (int, float), None)
 
+    def _read_duration(self, name: str, default: float) -> float:
+        """Return a number above 0, from which intervals are derived."""
+        value = self._read_field(name, (int, float), default)
+        if not 0 < value < float("inf"):
+            self._faults.append(f"{name}: expected a number above 0, got {value!r}")
+            return default
+        return value
+
     def _read_field(self, name: str, kind, default):
         value = self._fields
         for part in name.split("."):
@@ -93,7 +101,7 @@
         return Address(host, int(port))
 
 
-_OPTIONAL_FIELDS = {"bounds.revoke-closed", "bounds.config-apply-ms"}
+_OPTIONAL_FIELDS = {"bounds.revoke-closed", "bounds.config-apply-ms", "bounds.drain-ms"}
 
 
 def _invalid_settings(faults: list[str]) -> ConfigurationError:
--- a/basilwinch/platform/tests/test_settings.py
+++ b/basilwinch/platform/tests/test_settings.py
@@ -69,3 +69,14 @@
     monkeypatch.setattr("basilwinch.platform.program.BoundedOutput", lambda _: _Lines([]))
     assert main(["--settings", str(path)]) == 0
     assert len(started) == 1
+
+
+@pytest.mark.parametrize("value", ["0", "-1", "inf", "nan", '"2000"'])
+@pytest.mark.parametrize("name", ["drain-ms", "config-apply-ms"])
+def test_bound_from_which_no_interval_can_be_derived_is_refused(tmp_path, name, value):
+    """Guards against a node that checks the store without a pause, or never."""
+    path = tmp_path / "node.toml"
+    path.write_text(GOOD.replace(f"{name} = 2000", f"{name} = {value}"))
+    with pytest.raises(ConfigurationError) as info:
+        read_settings(str(path))
+    assert f"bounds.{name}" in info.value.failure.reason
--- a/basilwinch/view/tests/standin.py
+++ b/basilwinch/view/tests/standin.py
@@ -115,6 +115,10 @@
     def is_direct(self):
         return True
 
+    @property
+    def is_reader(self):
+        return True
+
     async def poll(self, prefix, after, wait_s):
         self.polls += 1
         await trio.sleep(self.latency_s)
--- a/basilwinch/view/tests/test_confirmation.py
+++ b/basilwinch/view/tests/test_confirmation.py
@@ -8,11 +8,14 @@
 
 from basilwinch.view import View
 from basilwinch.view.tests.standin import Store, make_source
+from basilwinch.view.timing import WatchTiming
 from basilwinch.view.watcher import StoreWatcher
 
 _FAULTS = ("silent", "down", "slow", "compact", "suspend", "none")
 _FAULTS_WITH_RESTORE = (*_FAULTS, "restore", "restore", "restore in an outage")
 
+TIMING = WatchTiming.from_bound(2.0)
+
 
 class Run:
     """A watcher under random faults, with the times at which versions were acknowledged."""
@@ -96,7 +99,7 @@
 
     async def main():
         run = Run(seed, faults)
-        watcher = StoreWatcher(make_source(run.store), run.view, run.rng, run.read_clock)
+        watcher = StoreWatcher(make_source(run.store), run.view, run.rng, run.read_clock, TIMING)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(watcher.run)
             nursery.start_soon(run.observe)
--- a/basilwinch/view/tests/test_restore.py
+++ b/basilwinch/view/tests/test_restore.py
@@ -7,12 +7,15 @@
 
 from basilwinch.view import View
 from basilwinch.view.tests.standin import Store, make_source
+from basilwinch.view.timing import WatchTiming
 from basilwinch.view.watcher import StoreWatcher
 
 _SERVERS = 1000
 _FLEET_NODES = 490
 _STORE_READS_PER_S = 2000
 
+TIMING = WatchTiming.from_bound(2.0)
+
 
 def _run(test, seed=1):
     """Run an async test with a store, its view and the watcher, on a virtual clock."""
@@ -22,7 +25,9 @@
         store.put("op/config", b"5")
         for number in range(_SERVERS):
             store.put(f"servers/s{number}")
-        watcher = StoreWatcher(make_source(store), view, random.Random(seed), trio.current_time)
+        watcher = StoreWatcher(
+            make_source(store), view, random.Random(seed), trio.current_time, TIMING
+        )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(watcher.run)
             await trio.sleep(0.1)
--- a/basilwinch/view/tests/test_watcher.py
+++ b/basilwinch/view/tests/test_watcher.py
@@ -8,8 +8,11 @@
 
 from basilwinch.view import View
 from basilwinch.view.tests.standin import Store, make_source
+from basilwinch.view.timing import WatchTiming
 from basilwinch.view.watcher import StoreWatcher
 
+TIMING = WatchTiming.from_bound(2.0)
+
 
 @pytest.fixture
 def run_watcher():
@@ -18,7 +21,9 @@
     def run(test):
         async def main():
             store, view = Store(), View()
-            watcher = StoreWatcher(make_source(store), view, random.Random(1), trio.current_time)
+            watcher = StoreWatcher(
+                make_source(store), view, random.Random(1), trio.current_time, TIMING
+            )
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(watcher.run)
                 await trio.sleep(0.1)
--- a/basilwinch/view/watcher.py
+++ b/basilwinch/view/watcher.py
@@ -9,22 +9,19 @@
 from basilwinch.view.node_keys import NodeKeys
 from basilwinch.view.source import ViewSource
 from basilwinch.view.state import View
+from basilwinch.view.timing import WatchTiming
 
 __all__ = ["StoreWatcher"]
 
 _MIN_RETRY_PAUSE_S = 0.2  # after a failed call; doubles with further failures
-_MAX_RETRY_PAUSE_S = 1.0  # half of the time in which a new configuration must be applied
 _POLL_TIMEOUT_S = 10.0  # the store answers at once if there are changes
-# Interval between queries of the store's revision. Together with a slow answer it uses less than
-# half of the time after which keys are refused; the rest is left for an outage of the store.
-_MIN_CHECK_INTERVAL_S = 1.3
 # If many nodes read the store they check less often, since its capacity grows more slowly than the
-# fleet.
+# fleet. Not the readers that other nodes follow: these are few.
 _MAX_CHECK_INTERVAL_S = 2.4
+_CHECK_JITTER = (0.85, 1.0)  # factors of a check interval
 _FLEET_CHECKS_PER_S = 30.0  # of all nodes together, until the maximum interval is reached
-# A node that asks a reader costs the store nothing. The answer is up to a check interval of the
-# reader old, so that both together must stay below the age at which a node is not ready.
-_INDIRECT_CHECK_INTERVAL_S = 0.6
+# Between two questions to a reader that has no newer proof yet.
+_MIN_QUESTION_PAUSE_S = 0.05
 # Interval after a failed check, since keys may be refused until one succeeds; also while servers
 # may register again.
 _CHECK_RETRY_S = 0.5
@@ -34,7 +31,6 @@
 _CATCH_UP_MARGIN_S = 0.2  # after the batch pause, for the watch to deliver what a check has shown
 # Pause after changes, so that a series of them takes few calls. If many nodes read the store each
 # waits longer, since a change makes all of them call it.
-_MIN_BATCH_PAUSE_S = 0.25
 _MAX_BATCH_PAUSE_S = 0.7
 _BATCH_PAUSE_PER_NODE_S = 0.01
 _INDIRECT_BATCH_PAUSE_S = 0.1  # of a node that asks a reader, which has paused already
@@ -70,6 +66,7 @@
     :param view: :class:`View` to keep up to date
     :param rng: random numbers for pauses
     :param clock: function that returns the time in seconds, including time of suspension
+    :param timing: :class:`~basilwinch.view.timing.WatchTiming`
     """
 
     __slots__ = (
@@ -88,12 +85,15 @@
         "_reread_at",
         "_restored_read_at",
         "_watch_scope",
+        "_timing",
+        "_applied",
+        "_proven_at",
         "check_interval_s",
         "_batch_pause_s",
         "node_keys",
     )
 
-    def __init__(self, source: ViewSource, view: View, rng, clock):
+    def __init__(self, source: ViewSource, view: View, rng, clock, timing: WatchTiming):
         self._source = source
         self._view = view
         self._rng = rng
@@ -112,8 +112,11 @@
         self._reread_at = float("inf")
         self._restored_read_at = float("-inf")
         self._watch_scope = trio.CancelScope()
-        self.check_interval_s = _MIN_CHECK_INTERVAL_S
-        self._batch_pause_s = _MIN_BATCH_PAUSE_S
+        self._timing = timing
+        self._applied = trio.Event()  # set when changes have been applied, and then replaced
+        self._proven_at = float("-inf")  # time from which the newest proof of a position is
+        self.check_interval_s = timing.check_interval_s
+        self._batch_pause_s = timing.batch_pause_s
         source.store.history.subscribe(self._begin_history)
 
     def set_nodes(self, nodes: int, reading: int) -> None:
@@ -123,11 +126,12 @@
         :param reading: number of nodes that watch the store themselves
         """
         self._nodes = nodes
-        self.check_interval_s = min(
-            _MAX_CHECK_INTERVAL_S, max(_MIN_CHECK_INTERVAL_S, reading / _FLEET_CHECKS_PER_S)
+        self.check_interval_s = max(
+            self._timing.check_interval_s,
+            min(_MAX_CHECK_INTERVAL_S, reading / _FLEET_CHECKS_PER_S),
         )
-        self._batch_pause_s = min(
-            _MAX_BATCH_PAUSE_S, max(_MIN_BATCH_PAUSE_S, reading * _BATCH_PAUSE_PER_NODE_S)
+        self._batch_pause_s = max(
+            self._timing.batch_pause_s, min(_MAX_BATCH_PAUSE_S, reading * _BATCH_PAUSE_PER_NODE_S)
         )
 
     async def run(self) -> None:
@@ -164,7 +168,7 @@
                     continue
                 self._mark_unreachable(error)
                 await trio.sleep(pause * self._rng.uniform(0.5, 1.0))
-                pause = min(_MAX_RETRY_PAUSE_S, pause * 2)
+                pause = min(self._timing.max_retry_pause_s, pause * 2)
 
     async def _catch_up(self) -> None:
         """Read what the watch cannot deliver."""
@@ -194,29 +198,32 @@
 
     async def _check_position(self) -> None:
         """Query the store's position at intervals; read all keys again if changes are missing."""
-        pause = self.check_interval_s
+        due = trio.current_time() + self.check_interval_s
         while True:
-            await trio.sleep(pause * self._rng.uniform(0.8, 1.0))
-            # While servers may register again, check more often to remove them in time.
-            pause = _CHECK_RETRY_S if self._remove_at else self._choose_check_interval()
+            await trio.sleep_until(due)
+            due = trio.current_time() + _CHECK_RETRY_S
             self._remove_expired()
             applied = self._position
             if applied is None:
                 continue
+            begun_at = trio.current_time()
             try:
                 asked_at, proof = await self._query_position()
             except PlatformError as error:
                 self._mark_unreachable(error)
-                pause = _CHECK_RETRY_S
+                due = trio.current_time() + _CHECK_RETRY_S
                 continue
             self._mark_reachable()
+            self._proven_at = asked_at
+            # While servers may register again, check more often to remove them in time.
+            due = begun_at + (_CHECK_RETRY_S if self._remove_at else self._choose_check_interval())
             position = proof.position
             if proof.is_direct and self._has_fallen(applied, position):
                 continue
             if position.history != self._history.number:
                 continue
-            if not self._has_applied(position):
-                await trio.sleep(self._choose_batch_pause() + _CATCH_UP_MARGIN_S)
+            with trio.move_on_after(self._choose_batch_pause() + _CATCH_UP_MARGIN_S):
+                await self._wait_until_applied(position)
             if self._has_applied(position):
                 self._confirm(position, asked_at)
             elif position.history == self._history.number:
@@ -228,13 +235,33 @@
                 self._position = None
                 self._watch_scope.cancel()
 
+    async def _wait_until_applied(self, position: Position) -> None:
+        while not self._has_applied(position) and position.history == self._history.number:
+            await self._applied.wait()
+
+    def _notify_applied(self) -> None:
+        self._applied.set()
+        self._applied = trio.Event()
+
     def _choose_check_interval(self) -> float:
-        is_direct = self._source.store.is_direct
-        return self.check_interval_s if is_direct else _INDIRECT_CHECK_INTERVAL_S
+        """Return the seconds from the beginning of a check to that of the next one.
+
+        A reader is asked again when its proof has reached an age at which it must have a newer one,
+        and once more when that proof is about to be too old.
+        """
+        store, timing = self._source.store, self._timing
+        if store.is_direct:
+            interval_s = timing.check_interval_s if store.is_reader else self.check_interval_s
+            return interval_s * self._rng.uniform(*_CHECK_JITTER)
+        age_s = self._clock() - self._proven_at
+        limit_s = timing.ask_age_s if age_s < timing.ask_age_s else timing.max_reader_age_s
+        return max(_MIN_QUESTION_PAUSE_S, limit_s - age_s)
 
     def _choose_batch_pause(self) -> float:
-        is_direct = self._source.store.is_direct
-        return self._batch_pause_s if is_direct else _INDIRECT_BATCH_PAUSE_S
+        store = self._source.store
+        if not store.is_direct:
+            return _INDIRECT_BATCH_PAUSE_S
+        return self._timing.batch_pause_s if store.is_reader else self._batch_pause_s
 
     def _confirm(self, position: Position, asked_at: float) -> None:
         """Record that all changes up to a position, asked for at a time, are applied."""
@@ -304,6 +331,7 @@
             after = page.items[-1].key
         self._remove_unlisted(listed, start.revision)
         self._position = self._highest = start
+        self._notify_applied()
         self._reread_at = float("inf")
         self._confirm(start, asked_at)
 
@@ -318,6 +346,7 @@
             if self._position is not None:
                 revision = max(self._position.revision, event.mod_revision)
                 self._position = self._highest = Position(self._position.history, revision)
+        self._notify_applied()
         return bool(changes.events)
 
     def _is_outdated(self, item) -> bool:
