Take the store for away only after it has been silent, not after a failed call

Cause: each failed call counted as an outage of the store, in which entries of live servers expire, and for 1.6 s after it each removed server was kept for 2 s and until the next check. Change: only a silence of 1.5 heartbeats can make such an entry expire. After a failed watch the position is queried at once, in place of the next check, which shows whether the store answers. The time to register again counts from the return of the store, and servers are removed when it is over. The times follow from heartbeat, stable-ms and drain-ms of the settings.

--- a/basilwinch/entry/settings.py
+++ b/basilwinch/entry/settings.py
@@ -25,6 +25,8 @@
     :param retry_slack: further retries allowed in a window, over all nodes
     :param config_apply_s: time after which a new configuration must be in force, in seconds
     :param drain_s: time after which a server that is leaving must get no more requests, in seconds
+    :param stable_s: time without disturbance after which the bounds hold again, in seconds
+    :param heartbeat_s: interval at which servers renew their entries in the store, in seconds
     """
 
     __slots__ = (
@@ -36,6 +38,8 @@
         "retry_slack",
         "config_apply_s",
         "drain_s",
+        "stable_s",
+        "heartbeat_s",
     )
 
 
--- a/basilwinch/fanout/tests/test_store.py
+++ b/basilwinch/fanout/tests/test_store.py
@@ -19,7 +19,7 @@
 from basilwinch.view.timing import WatchTiming
 from basilwinch.view.watcher import StoreWatcher
 
-TIMING = WatchTiming.from_bound(2.0)
+TIMING = WatchTiming.from_bounds(2.0, 3.0, 1.2)
 
 
 class Access(Store):
--- a/basilwinch/platform/settings.py
+++ b/basilwinch/platform/settings.py
@@ -12,6 +12,8 @@
 # Used if the settings do not name them; the values on all sites of today.
 _DEFAULT_CONFIGURATION_APPLY_MS = 2000
 _DEFAULT_DRAIN_MS = 2000
+_DEFAULT_STABLE_MS = 3000
+_DEFAULT_HEARTBEAT_MS = 1200
 
 
 def read_settings(path: str) -> EntrySettings:
@@ -68,6 +70,8 @@
             config_apply_s=seconds_per_ms
             * self._read_duration("bounds.config-apply-ms", _DEFAULT_CONFIGURATION_APPLY_MS),
             drain_s=seconds_per_ms * self._read_duration("bounds.drain-ms", _DEFAULT_DRAIN_MS),
+            stable_s=seconds_per_ms * self._read_duration("bounds.stable-ms", _DEFAULT_STABLE_MS),
+            heartbeat_s=seconds_per_ms * self._read_duration("heartbeat-ms", _DEFAULT_HEARTBEAT_MS),
         )
 
     def _read_number(self, name: str) -> float:
@@ -101,7 +105,13 @@
         return Address(host, int(port))
 
 
-_OPTIONAL_FIELDS = {"bounds.revoke-closed", "bounds.config-apply-ms", "bounds.drain-ms"}
+_OPTIONAL_FIELDS = {
+    "bounds.revoke-closed",
+    "bounds.config-apply-ms",
+    "bounds.drain-ms",
+    "bounds.stable-ms",
+    "heartbeat-ms",
+}
 
 
 def _invalid_settings(faults: list[str]) -> ConfigurationError:
--- a/basilwinch/platform/tests/conftest.py
+++ b/basilwinch/platform/tests/conftest.py
@@ -72,7 +72,7 @@
 def start_node(platform, nursery, name, host, peer_port, zone="z0"):
     """Start a node; return it with its settings and a scope that ends it."""
     address = [Address(host, find_free_port()) for _ in range(3)]
-    bounds = Bounds(4.0, 5.0, True, 0.2, 10.0, 100, 2.0, 2.0)
+    bounds = Bounds(4.0, 5.0, True, 0.2, 10.0, 100, 2.0, 2.0, 3.0, 1.2)
     settings = EntrySettings(name, zone, host, *address, peer_port, None, bounds)
     store = MetadataStore("127.0.0.1", platform.port)
     source = ViewSource(
--- a/basilwinch/view/tests/standin.py
+++ b/basilwinch/view/tests/standin.py
@@ -39,6 +39,12 @@
         self.era = 1
         self.history = StoreHistory()
         self.changed = trio.Event()
+        self.cuts = 0  # how often waiting watches have been cut
+
+    def cut_watches(self):
+        """End the waiting watches without an answer; all other calls go on."""
+        self.cuts += 1
+        self._notify()
 
     def put(self, key, value=b"1"):
         self.revision += 1
@@ -124,9 +130,12 @@
         await trio.sleep(self.latency_s)
         self._answer()
         asked_in = self.history.number
+        cuts = self.cuts
         with trio.move_on_after(wait_s):
             while self.silent or (self._has(after.revision) and not self._list(after.revision)):
                 await self.changed.wait()
+                if self.cuts != cuts:
+                    raise PlatformError(PLATFORM_UNAVAILABLE.because("watch cut"))
         position = self._read_position(asked_in)
         if position.history != after.history:
             raise PlatformError(HISTORY_FORKED.because("restored"))
--- a/basilwinch/view/tests/test_confirmation.py
+++ b/basilwinch/view/tests/test_confirmation.py
@@ -14,7 +14,7 @@
 _FAULTS = ("silent", "down", "slow", "compact", "suspend", "none")
 _FAULTS_WITH_RESTORE = (*_FAULTS, "restore", "restore", "restore in an outage")
 
-TIMING = WatchTiming.from_bound(2.0)
+TIMING = WatchTiming.from_bounds(2.0, 3.0, 1.2)
 
 
 class Run:
--- a/basilwinch/view/tests/test_restore.py
+++ b/basilwinch/view/tests/test_restore.py
@@ -14,7 +14,7 @@
 _FLEET_NODES = 490
 _STORE_READS_PER_S = 2000
 
-TIMING = WatchTiming.from_bound(2.0)
+TIMING = WatchTiming.from_bounds(2.0, 3.0, 1.2)
 
 
 def _run(test, seed=1):
--- a/basilwinch/view/tests/test_timing.py
+++ b/basilwinch/view/tests/test_timing.py
@@ -11,7 +11,7 @@
 
 @pytest.fixture(params=BOUNDS_S)
 def timing(request):
-    return WatchTiming.from_bound(request.param)
+    return WatchTiming.from_bounds(request.param, 3.0, 1.2)
 
 
 def test_change_is_in_force_in_time_though_the_reader_is_cut_off(timing):
@@ -55,5 +55,5 @@
 def test_tighter_of_the_bounds_decides():
     """Guards against servers that get requests after they have left, as only the time for the
     configuration was looked at."""
-    bounds = Bounds(8.0, 5.0, True, 0.2, 10.0, 100, 4.0, 1.0)
-    assert WatchTiming.from_config(bounds) == WatchTiming.from_bound(1.0)
+    bounds = Bounds(8.0, 5.0, True, 0.2, 10.0, 100, 4.0, 1.0, 3.0, 1.2)
+    assert WatchTiming.from_config(bounds) == WatchTiming.from_bounds(1.0, 3.0, 1.2)
--- a/basilwinch/view/tests/test_watcher.py
+++ b/basilwinch/view/tests/test_watcher.py
@@ -11,7 +11,7 @@
 from basilwinch.view.timing import WatchTiming
 from basilwinch.view.watcher import StoreWatcher
 
-TIMING = WatchTiming.from_bound(2.0)
+TIMING = WatchTiming.from_bounds(2.0, 3.0, 1.2)
 
 
 @pytest.fixture
@@ -162,3 +162,75 @@
         assert "s1" in view.servers
 
     run_watcher(test)
+
+
+async def measure_removal(store, view, disturb) -> float:
+    """Return the seconds until a server is out of use that leaves shortly after a disturbance."""
+    store.put("servers/s1")
+    await trio.sleep(3.0)
+    await disturb(store)
+    await trio.sleep(0.4)
+    store.delete("servers/s1")
+    start = trio.current_time()
+    with trio.move_on_after(10):
+        while "s1" in view.servers:
+            await trio.sleep(0.01)
+    return trio.current_time() - start
+
+
+async def cut_watch(store):
+    store.cut_watches()
+
+
+async def cut_watch_twice(store):
+    store.cut_watches()
+    await trio.sleep(0.3)
+    store.cut_watches()
+
+
+async def fail_for_a_moment(store):
+    store.down = True
+    store.cut_watches()
+    await trio.sleep(0.3)
+    store.down = False
+
+
+@pytest.mark.parametrize("disturb", [cut_watch, cut_watch_twice, fail_for_a_moment])
+@pytest.mark.parametrize("phase_s", [0.0, 0.3, 0.6, 0.9])
+def test_server_that_leaves_after_a_failed_call_is_removed_at_once(run_watcher, disturb, phase_s):
+    """Guards against a watch that is cut and taken for an outage of the store: a server that left
+    after it got requests for seconds."""
+
+    async def test(store, view):
+        await trio.sleep(phase_s)
+        for _ in range(3):
+            # A call that fails is tried again after a pause of at most a second.
+            assert await measure_removal(store, view, disturb) < 1.2
+
+    run_watcher(test)
+
+
+@pytest.mark.parametrize("outage_s", [2.4, 3.0, 5.0])
+@pytest.mark.parametrize("phase_s", [0.0, 0.3, 0.6, 0.9])
+def test_server_whose_entry_expired_in_an_outage_may_register_again(run_watcher, outage_s, phase_s):
+    """Guards against live servers that are left out after an outage, and against servers that are
+    gone and kept for longer than it takes to register again."""
+
+    async def test(store, view):
+        await trio.sleep(phase_s)
+        store.put("servers/gone")
+        store.put("servers/live")
+        await trio.sleep(2.0)
+        store.down = True
+        store.cut_watches()
+        await trio.sleep(outage_s)
+        store.delete("servers/gone")
+        store.delete("servers/live")
+        store.down = False
+        await trio.sleep(1.6)
+        store.put("servers/live")
+        assert set(view.servers) == {"gone", "live"}
+        await trio.sleep(1.6)  # a node notices the return within a second
+        assert set(view.servers) == {"live"}
+
+    run_watcher(test)
--- a/basilwinch/view/watcher.py
+++ b/basilwinch/view/watcher.py
@@ -34,11 +34,6 @@
 _MAX_BATCH_PAUSE_S = 0.7
 _BATCH_PAUSE_PER_NODE_S = 0.01
 _INDIRECT_BATCH_PAUSE_S = 0.1  # of a node that asks a reader, which has paused already
-# Servers whose entries expired during an outage of the store register again within this time.
-_REREGISTER_TIMEOUT_S = 2.0
-# After an outage of the store, the watch reports the entries that expired during it within this
-# time; covers the maximum retry pause, and the pause of a reader after changes.
-_EXPIRY_EVENT_WINDOW_S = 1.6
 # After a restore each node reads all keys again. The reads are spread so that all nodes together
 # make this many calls, half of what a small store takes.
 _FLEET_READS_PER_S = 1000.0
@@ -54,9 +49,11 @@
     If the watch does not deliver the changes up to that revision soon after, everything is read
     again.
 
-    A server whose entry expired during an outage of the store is removed only if it has not
-    registered again after ``_REREGISTER_TIMEOUT_S``. Changes that do not belong to the view are
-    passed to ``node_keys``.
+    A server whose entry may have expired during an outage of the store is removed only if it has
+    not registered again some time after the outage. A call that fails is no outage: a watch may be
+    cut, or an answer lost, while the store answers others. So the position is queried at once, and
+    the time without any answer counts. Changes that do not belong to the view are passed to
+    ``node_keys``.
 
     After a restore of the store the configuration is read at once, and the watch goes on from
     there. The other keys are read after a delay that spreads the reads of all nodes; until then the
@@ -76,8 +73,10 @@
         "_clock",
         "_log",
         "_unreachable_since",
-        "_reachable_since",
+        "_outage_ended_at",
         "_remove_at",
+        "_removal_added",
+        "_check_requested",
         "_departed",
         "_nodes",
         "_position",
@@ -100,8 +99,11 @@
         self._clock = clock
         self._log = structlog.get_logger("watcher")
         self._unreachable_since: float | None = None
-        self._reachable_since = float("-inf")
+        self._outage_ended_at = float("-inf")  # of an outage in which entries may have expired
+        # Time by server id at which a server is removed that has not registered again until then.
         self._remove_at: dict[str, float] = {}
+        self._removal_added = trio.Event()
+        self._check_requested = trio.Event()
         self._departed = DepartedServers()
         self._nodes = 1
         self.node_keys = NodeKeys()
@@ -139,10 +141,11 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._watch_changes)
             nursery.start_soon(self._check_position)
+            nursery.start_soon(self._remove_in_time)
 
     def _begin_history(self) -> None:
         """Read again from the store, which was restored from an older copy."""
-        self._reachable_since = self._clock()
+        self._outage_ended_at = self._clock()
         self._view.begin_history(self._clock())
         self._reread_at = trio.current_time()
         self._watch_scope.cancel()
@@ -154,7 +157,6 @@
                 await self._catch_up()
                 with trio.CancelScope(deadline=self._reread_at) as self._watch_scope:
                     changed = await self._read_changes(self._position)
-                    self._mark_reachable()
                     pause = _MIN_RETRY_PAUSE_S
                     await trio.sleep(self._choose_batch_pause() if changed else 0)
             except PlatformError as error:
@@ -166,6 +168,8 @@
                     )
                     self._position = None
                     continue
+                if self._unreachable_since is None:
+                    self._check_requested.set()
                 self._mark_unreachable(error)
                 await trio.sleep(pause * self._rng.uniform(0.5, 1.0))
                 pause = min(self._timing.max_retry_pause_s, pause * 2)
@@ -182,9 +186,6 @@
             self._reread_at = trio.current_time() + self._rng.uniform(0, spread_s)
         elif self._position is None or trio.current_time() >= self._reread_at:
             await self._read_all()
-        else:
-            return
-        self._mark_reachable()
 
     def _is_reread_pending(self) -> bool:
         return self._reread_at != float("inf")
@@ -200,9 +201,11 @@
         """Query the store's position at intervals; read all keys again if changes are missing."""
         due = trio.current_time() + self.check_interval_s
         while True:
-            await trio.sleep_until(due)
+            with trio.move_on_at(due):
+                await self._check_requested.wait()
+            self._check_requested = trio.Event()
             due = trio.current_time() + _CHECK_RETRY_S
-            self._remove_expired()
+            self._drop_outdated()
             applied = self._position
             if applied is None:
                 continue
@@ -213,10 +216,8 @@
                 self._mark_unreachable(error)
                 due = trio.current_time() + _CHECK_RETRY_S
                 continue
-            self._mark_reachable()
-            self._proven_at = asked_at
-            # While servers may register again, check more often to remove them in time.
-            due = begun_at + (_CHECK_RETRY_S if self._remove_at else self._choose_check_interval())
+            self._record_contact(asked_at)
+            due = begun_at + self._choose_check_interval()
             position = proof.position
             if proof.is_direct and self._has_fallen(applied, position):
                 continue
@@ -308,6 +309,7 @@
         for item in page.items:
             self._apply(item.key, item.value, item.mod_revision)
         self._position = self._highest = position
+        self._record_contact(asked_at)
         self._view.confirm(asked_at)
 
     async def _read_all(self) -> None:
@@ -329,6 +331,7 @@
             if not page.more:
                 break
             after = page.items[-1].key
+        self._record_contact(asked_at)
         self._remove_unlisted(listed, start.revision)
         self._position = self._highest = start
         self._notify_applied()
@@ -397,24 +400,49 @@
         Any other server is removed at once: one that stops without notice must not get requests
         after its entry is gone.
         """
+        if server_id not in self._view.servers:
+            return
         now = self._clock()
-        if server_id in self._view.servers:
-            self._departed.add(self._view.servers[server_id], now)
-        is_due = now - self._reachable_since > _EXPIRY_EVENT_WINDOW_S
-        if self._unreachable_since is None and is_due and not self._is_reread_pending():
+        self._departed.add(self._view.servers[server_id], now)
+        if self._may_have_expired(now):
+            ended_at = now if self._unreachable_since is not None else self._outage_ended_at
+            self._remove_at.setdefault(server_id, ended_at + self._timing.reregister_s)
+            self._removal_added.set()
+        else:
             self._remove_at.pop(server_id, None)
             self._view.remove_server(server_id, revision, reason)
-        elif server_id in self._view.servers:
-            self._remove_at.setdefault(server_id, now + _REREGISTER_TIMEOUT_S)
+
+    def _may_have_expired(self, now: float) -> bool:
+        """Return whether an entry that is gone may be that of a live server."""
+        if self._is_reread_pending():
+            return True
+        if self._unreachable_since is not None:
+            return now - self._proven_at >= self._timing.min_outage_s
+        return now - self._outage_ended_at <= self._timing.expiry_window_s
+
+    async def _remove_in_time(self) -> None:
+        """Remove servers that have not registered again, as soon as their time is over."""
+        while True:
+            if not self._remove_at:
+                await self._removal_added.wait()
+            self._removal_added = trio.Event()
+            wait_s = min(self._remove_at.values(), default=0.0) - self._clock()
+            with trio.move_on_after(max(0.0, wait_s)):
+                await self._removal_added.wait()
+            self._remove_expired()
 
     def _remove_expired(self) -> None:
         now = self._clock()
-        self._departed.prune(now)
         for server_id in [s for s, until in self._remove_at.items() if until <= now]:
             del self._remove_at[server_id]
             self._view.remove_server(
                 server_id, 0, "not registered again after an outage or restore of the store"
             )
+
+    def _drop_outdated(self) -> None:
+        """Drop what is kept for a time only, and need not end at a certain moment."""
+        now = self._clock()
+        self._departed.prune(now)
         self.node_keys.drop_expired(now)
 
     def _mark_unreachable(self, error: PlatformError) -> None:
@@ -422,10 +450,23 @@
             self._unreachable_since = self._clock()
             self._log.warning("store unreachable", reason=error.failure.reason)
 
-    def _mark_reachable(self) -> None:
+    def _record_contact(self, asked_at: float) -> None:
+        """Record an answer of the store.
+
+        :param asked_at: time in seconds at which the store was asked, by this node or its reader
+        """
+        silent_s = asked_at - self._proven_at
+        self._proven_at = max(self._proven_at, asked_at)
         if self._unreachable_since is None:
             return
         now = self._clock()
-        self._log.info("store reachable again", outage_s=round(now - self._unreachable_since, 3))
+        is_outage = silent_s >= self._timing.min_outage_s
+        self._log.info(
+            "store reachable again",
+            outage_s=round(now - self._unreachable_since, 3),
+            silent_s=round(silent_s, 3),
+            may_have_expired=is_outage,
+        )
         self._unreachable_since = None
-        self._reachable_since = now
+        if is_outage:
+            self._outage_ended_at = now
