Remember that a server names itself leaving though its entry lapses

Change: the mark lasts until the server has started again, for at most 4,096 servers. Result: the new test fails before, passes now.

--- a/basilwinch/platform/tests/test_server_answers.py
+++ b/basilwinch/platform/tests/test_server_answers.py
@@ -120,3 +120,21 @@
         assert status
 
     run_with(test)
+
+
+def test_server_that_says_it_is_leaving_gets_none_after_its_entry_has_lapsed(run_with):
+    """Guards against requests to a server that stops, because its entry came back meanwhile."""
+
+    async def test(site):
+        server, other = (s for s in site.platform.servers if s.kind is None)
+        server.names_leaving = True
+        while not server.runs:
+            await send_many(site, b"GET", b"/safe/a", 1)
+        site.platform.delete(f"servers/{server.id}")
+        await site.wait_until(lambda: server.id not in site.node.view.servers)
+        site.platform.register(server)
+        await site.wait_until(lambda: server.id in site.node.view.servers)
+        assert await send_many(site, b"GET", b"/safe/a", 10) == [200] * 10
+        assert len(server.runs) == 1
+
+    run_with(test)
--- a/basilwinch/view/state.py
+++ b/basilwinch/view/state.py
@@ -19,6 +19,10 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
+# Servers that named themselves leaving and are remembered; the oldest are forgotten first.
+_MAX_NAMED_LEAVING = 4096
+
+
 class View:
     """The newest configuration and the registered servers.
 
@@ -100,21 +104,26 @@
         :param revision: revision of the store at its removal, 0 if that is not known
         :param reason: why, for the log
         """
-        self._named_leaving.pop(server_id, None)
-        if self.servers.pop(server_id, None) is None:
+        entry = self.servers.pop(server_id, None)
+        if entry is None:
             return
+        if not entry.born_ms:
+            self._named_leaving.pop(server_id, None)  # a new start could not be told
         self._index()
         self._log.info("server removed", server=server_id, revision=revision, reason=reason)
 
     def mark_leaving(self, server_id: str) -> None:
         """Take a server for leaving because a response of it said so, whatever its entry says.
 
-        This ends when the entry is removed, or the server has started again.
+        This ends when the server has started again. It outlasts the entry, which may lapse for a
+        moment and come back.
         """
         entry = self.servers.get(server_id)
         if entry is None or entry.leaving:
             return
         self._named_leaving[server_id] = entry.born_ms
+        while len(self._named_leaving) > _MAX_NAMED_LEAVING:
+            del self._named_leaving[next(iter(self._named_leaving))]
         self.servers[server_id] = entry.replace(leaving=True)
         self._index()
         self._log.info("server says that it is leaving", server=server_id)
