Watcher: count the silence of the store from the start, and name what the intervals cover

Cause: before the first answer the silence was infinite, which JSON logs can't hold; two comments and a property were left over from the former intervals.

--- a/basilwinch/view/timing.py
+++ b/basilwinch/view/timing.py
@@ -4,8 +4,8 @@
 the store, or dead, and then read the store itself. With ``apply_s`` as the time in which a change
 must be in force:
 
-* the reader confirms a position at least each ``check_interval_s``, and it can tell it
-  ``proof_delay_s`` later, when it has applied all changes up to there;
+* the reader confirms a position at least each ``check_interval_s``, and tells it as soon as it has
+  applied all changes up to there, which takes a batch pause at most;
 * the node asks again once its proof is ``ask_age_s`` old, so that an answer that does not come
   within ``answer_timeout_s`` is missed before ``max_reader_age_s``;
 * a proof older than ``max_reader_age_s`` is not accepted, and ``apply_s`` less that age is left to
@@ -112,8 +112,3 @@
             expiry_window_s=max_retry_pause_s + 2 * batch_pause_s + _FOLLOWER_PAUSE_S,
             reregister_s=min(_MAX_REREGISTER_S, _STABLE_SHARE * stable_s),
         )
-
-    @property
-    def proof_delay_s(self) -> float:
-        """Time that a sound reader has to apply what a check has shown."""
-        return self.max_reader_age_s - self.check_interval_s
--- a/basilwinch/view/watcher.py
+++ b/basilwinch/view/watcher.py
@@ -22,8 +22,7 @@
 _FLEET_CHECKS_PER_S = 30.0  # of all nodes together, until the maximum interval is reached
 # Between two questions to a reader that has no newer proof yet.
 _MIN_QUESTION_PAUSE_S = 0.05
-# Interval after a failed check, since keys may be refused until one succeeds; also while servers
-# may register again.
+# Interval after a failed check, since keys may be refused until one succeeds.
 _CHECK_RETRY_S = 0.5
 # An open connection that does not answer within this time may be dead without a sign of it. A slow
 # store takes up to 0.4 s.
@@ -116,7 +115,8 @@
         self._watch_scope = trio.CancelScope()
         self._timing = timing
         self._applied = trio.Event()  # set when changes have been applied, and then replaced
-        self._proven_at = float("-inf")  # time from which the newest proof of a position is
+        # Time from which the newest proof of a position is, or at which the watcher was started.
+        self._proven_at = float("-inf")
         self.check_interval_s = timing.check_interval_s
         self._batch_pause_s = timing.batch_pause_s
         source.store.history.subscribe(self._begin_history)
@@ -138,6 +138,7 @@
 
     async def run(self) -> None:
         """Watch and check until cancelled."""
+        self._proven_at = self._clock()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._watch_changes)
             nursery.start_soon(self._check_position)
