--- /dev/null
+++ b/basilwinch/failover/__init__.py
@@ -0,0 +1,6 @@
+"""Decisions on a second run of a response whose chain is silent, without I/O."""
+
+from basilwinch.failover.race import Race
+from basilwinch.failover.silence import Silence, should_back_up
+
+__all__ = ["Race", "Silence", "should_back_up"]
