Describe why a server refused a request

Change: Dialect.describe_refusal tells them apart. A 429 or 503 without X-Not-Executed is described as one that may have run, and an address that is not host:port is not copied to the log. Nothing uses it yet.

--- a/basilwinch/platform/dialect.py
+++ b/basilwinch/platform/dialect.py
@@ -42,6 +42,8 @@
 # An entry of X-Prompt-Prefix: a hexadecimal id of at most 64 digits, and a number of tokens.
 _PROMPT_PART = re.compile(rb"\s*([0-9A-Fa-f]{1,64}):[0-9]{1,9}\s*")
 _DECIMAL = re.compile(rb"[0-9]{1,12}(\.[0-9]{1,12})?")
+# Value of At-Server; other text is not copied to the log.
+_SERVER_ADDRESS = re.compile(rb"[0-9A-Za-z.:\[\]-]{1,253}:[0-9]{1,5}")
 _MAX_LIMIT_PER_S = 1e6  # far above what one server can take
 _MAX_PROMPT_PARTS = 64  # a longer prefix is ignored, so that state per request stays small
 
@@ -159,6 +161,31 @@
         value = headers.get(b"at-server")
         return value.decode("latin-1") if value else None
 
+    def describe_refusal(self, status: int, headers: dict[bytes, bytes]) -> str:
+        """Return why a server refused a request, for the log.
+
+        A response may give several reasons; the first of this order is returned: the server is
+        leaving, it asks for a pause, it names the member at fault, it is not the expected one, it
+        is full. The member at fault may be the server itself. A full server marks its responses as
+        not run, so an unmarked 429 or 503 is described as one that may have run.
+
+        :param status: status of the response
+        :param headers: values by lower-case name
+        """
+        if self.is_leaving(headers):
+            return "server leaving"
+        back_off_s = self.read_retry_after(status, headers)
+        if back_off_s is not None:
+            return f"back-off of {back_off_s:g} s"
+        address = headers.get(b"at-server", b"").strip()
+        if _SERVER_ADDRESS.fullmatch(address):
+            return f"member {address.decode()} at fault"
+        if status == 421:
+            return "rejected as another instance"
+        if status in (429, 503):
+            return "full" if self.is_not_run(status, headers) else "may have run"
+        return "other error"
+
     def read_server_load(self, headers: dict[bytes, bytes]) -> ServerLoad | None:
         """Return the load that a server reports in its header, or None if missing or malformed."""
         parts = headers.get(b"x-server-load", b"").split(b",")
--- a/basilwinch/platform/tests/test_dialect.py
+++ b/basilwinch/platform/tests/test_dialect.py
@@ -82,3 +82,41 @@
     """Guards against a server that is taken for leaving because of another value."""
     assert Dialect().is_leaving({b"server-leaving": value}) is leaving
     assert Dialect().is_leaving({}) is False
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "description"),
+    [
+        (503, {b"server-leaving": b"1"}, "server leaving"),
+        (503, {b"server-leaving": b"1", b"retry-after": b"2"}, "server leaving"),
+        (503, {b"server-leaving": b"0"}, "full"),
+        (503, {b"retry-after": b"2"}, "back-off of 2 s"),
+        (503, {b"retry-after": b"0.25", b"at-server": b"10.2.64.3:8080"}, "back-off of 0.25 s"),
+        (503, {b"retry-after": b"0"}, "full"),
+        (503, {b"retry-after": b"soon"}, "full"),
+        (503, {b"at-server": b"10.2.64.3:8080"}, "member 10.2.64.3:8080 at fault"),
+        (421, {b"at-server": b"10.2.64.3:8080"}, "member 10.2.64.3:8080 at fault"),
+        (421, {b"retry-after": b"2"}, "rejected as another instance"),
+        (421, {}, "rejected as another instance"),
+        (503, {}, "full"),
+        (429, {}, "full"),
+        (400, {}, "other error"),
+    ],
+)
+def test_kinds_of_refusals_are_told_apart(status, headers, description):
+    """Guards against a log that does not tell a full server from a leaving or a faulty one."""
+    headers = {b"x-not-executed": b"1"} | headers
+    assert Dialect().describe_refusal(status, headers) == description
+
+
+@pytest.mark.parametrize("status", [429, 503])
+def test_refusal_without_a_promise_is_not_described_as_a_full_server(status):
+    """Guards against a request that may have run, but is taken for a refused one in the log."""
+    assert Dialect().describe_refusal(status, {}) == "may have run"
+
+
+@pytest.mark.parametrize("value", [b"", b"10.2.64.3", b"a b:1", b"a:1\xff", b"a" * 300 + b":1"])
+def test_malformed_address_of_a_member_is_not_logged(value):
+    """Guards against untrusted text of any length in the log."""
+    headers = {b"x-not-executed": b"1", b"at-server": value}
+    assert Dialect().describe_refusal(503, headers) == "full"
