Name the kind of refusal in the reason of a refused request

Change: reasons of refusals by a server go on with what Dialect.describe_refusal returns, such as ": full". The description of a 429 or 503 without X-Not-Executed is now "not marked as not run", as plain requests add "the request may have run" themselves. No decision is changed.

--- a/basilwinch/forward/plain.py
+++ b/basilwinch/forward/plain.py
@@ -158,12 +158,15 @@
         dialect = self._components.dialect
         headers = dict(response.headers)
         if dialect.is_not_run(response.status_code, headers):
-            return NotRun(f"server answered with status {response.status_code}")
+            refusal = dialect.describe_refusal(response.status_code, headers)
+            return NotRun(f"server answered with status {response.status_code}: {refusal}")
         if response.status_code < 300 and not dialect.is_signed(headers):
             return OutcomeUnknown("response is not signed")
         if response.status_code in (408, 421, 429, 503):
+            refusal = dialect.describe_refusal(response.status_code, headers)
             return OutcomeUnknown(
-                f"server answered with status {response.status_code}; the request may have run"
+                f"server answered with status {response.status_code}: {refusal}; "
+                "the request may have run"
             )
         header = dialect.filter_response(response.headers.raw_items())
         return Answered(response.status_code, header, body)
--- a/basilwinch/forward/stream.py
+++ b/basilwinch/forward/stream.py
@@ -324,16 +324,20 @@
         if dialect.is_not_run(response.status_code, headers):
             await connection.receive_body(_MAX_BODY_BYTES)
             self._avoid_address(dialect.read_faulty_server(headers), path)
-            return NotRun(f"server answered with status {response.status_code}")
+            return NotRun(self._describe_refusal(response.status_code, headers))
         if response.status_code != 200 or not dialect.is_signed(headers):
             body = await connection.receive_body(_MAX_BODY_BYTES)
             if context.exchange.started or response.status_code in (200, 408, 421, 429, 503):
                 self._avoid.add(path.members[0].server)
-                return OutcomeUnknown(f"server answered with status {response.status_code}")
+                return OutcomeUnknown(self._describe_refusal(response.status_code, headers))
             header = dialect.filter_response(response.headers.raw_items())
             return Answered(response.status_code, header, body)
         return await self._relay_events(response, connection, path, detector)
 
+    def _describe_refusal(self, status: int, headers) -> str:
+        kind = self._components.dialect.describe_refusal(status, headers)
+        return f"server answered with status {status}: {kind}"
+
     async def _relay_events(self, response, connection, path, detector):
         context = self._context
         splitter = EventSplitter()
--- a/basilwinch/platform/dialect.py
+++ b/basilwinch/platform/dialect.py
@@ -167,7 +167,7 @@
         A response may give several reasons; the first of this order is returned: the server is
         leaving, it asks for a pause, it names the member at fault, it is not the expected one, it
         is full. The member at fault may be the server itself. A full server marks its responses as
-        not run, so an unmarked 429 or 503 is described as one that may have run.
+        not run, so a 429 or 503 without that mark is described as such.
 
         :param status: status of the response
         :param headers: values by lower-case name
@@ -183,7 +183,7 @@
         if status == 421:
             return "rejected as another instance"
         if status in (429, 503):
-            return "full" if self.is_not_run(status, headers) else "may have run"
+            return "full" if self.is_not_run(status, headers) else "not marked as not run"
         return "other error"
 
     def read_server_load(self, headers: dict[bytes, bytes]) -> ServerLoad | None:
