Give the stand-in of the platform the faults of silent chains, and a record of closed streams

Change: pauses of any length before the answer, before the first event and after event 3; a reset after a pause; resuming at another event; a 503 that names a member; a time in which no server sends anything; reports that take a while. Servers record what arrived and which requests their caller closed. The fleet of three nodes moves from test_tunnels.py to the fixtures. No test changes.

--- a/basilwinch/platform/tests/standin.py
+++ b/basilwinch/platform/tests/standin.py
@@ -30,6 +30,11 @@
     ``unframed cut`` one that ends within event 4, and ``endless`` one whose body, or first event,
     never ends.
 
+    ``late`` answers after a pause, ``late reset`` resets the connection after one, and in a stream
+    ``pause first`` is silent before the first event, ``pause cut`` is silent after event 3 and then
+    resets the connection, ``skip`` leaves out the first event and ``restart`` begins at event 1
+    whatever the caller has received. The length of a pause may follow in seconds (``pause:0.5``).
+
     ``copy`` and ``copy without id`` send the answer to a plain request a second time after
     ``_COPY_DELAY_S``, and ``wait`` answers one only after twice that time.
 
@@ -49,9 +54,16 @@
         self.crashing_parts: set[bytes] = set()
         self.limit: bytes | None = None  # requests per second that its answers name
         self.retry_after: bytes | None = None  # sent with the 503 of the fault "full"
+        self.names_faulty: bytes | None = None  # host:port that this 503 names as at fault
         self.extra_header: list[tuple[bytes, bytes]] = []  # sent with each of its answers
         self.names_leaving = False  # whether its answers say that it leaves
         self.run_times: list[float] = []
+        # Requests that arrived, whether run or not, and those whose caller closed the connection
+        # before the answer was complete: id and time of each.
+        self.received: list[tuple[bytes, float]] = []
+        self.closed: list[tuple[bytes, float]] = []
+        self.report_delay_s = 0.0
+        self.reports = 0  # queries for its report
         self.refused_at: list[float] = []  # times of the 503 of the fault "full"
         self.nursery = None
         self.state = "ready"
@@ -124,6 +136,7 @@
         self._silent_connections: set = set()
         # How the links of a node to all servers are cut, by its address; see cut_node().
         self._cuts: dict[str, str] = {}
+        self._silent_until = float("-inf")  # servers send nothing before this time
         self._server_streams: set = set()
         self.calls = 0
         self.era: bytes | None = b"1"  # header of all answers that counts restores; None for none
@@ -178,10 +191,16 @@
         """Let a node reach servers again; connections that hang stay silent."""
         self._cuts.pop(host, None)
 
+    def silence_servers(self, seconds: float) -> None:
+        """Let all servers send nothing for a time, not even reports; they send all of it later."""
+        self._silent_until = trio.current_time() + seconds
+
     async def _pass_link(self, stream) -> None:
-        """Wait forever if the link of the node at the other end hangs."""
+        """Wait forever if the link of the node at the other end hangs, and while all is silent."""
         if self._cuts.get(_read_peer(stream)) == "hang":
             await trio.sleep_forever()
+        if trio.current_time() < self._silent_until:
+            await trio.sleep_until(self._silent_until)
 
     def register(self, server: StandinServer) -> None:
         """Write a server's entry."""
@@ -348,8 +367,12 @@
         return 200, {}
 
     async def _answer_server(self, server, exchange) -> None:
+        if not exchange.target.startswith(b"/-/"):
+            server.received.append((exchange.headers[b"x-request-id"], trio.current_time()))
         await self._pass_link(exchange._connection._stream)
         if exchange.target == b"/-/report":
+            server.reports += 1
+            await trio.sleep(server.report_delay_s)
             report = {"sequence": server.orders, "layers": server.layers}
             await exchange.respond(200, [], json.dumps(report).encode())
         elif exchange.target == b"/-/order":
@@ -359,11 +382,17 @@
             self.register(server)
             await exchange.respond(202, [], b"")
         else:
-            await self._run(server, exchange)
+            try:
+                await self._run(server, exchange)
+            except (trio.Cancelled, trio.BrokenResourceError):
+                if not server.has_crashed:
+                    request_id = exchange.headers[b"x-request-id"]
+                    server.closed.append((request_id, trio.current_time()))
+                raise
 
     async def _run(self, server, exchange) -> None:
         request_id = exchange.headers[b"x-request-id"]
-        fault = server.faults.pop(0) if server.faults else ""
+        fault, pause_s = _parse_fault(server.faults.pop(0) if server.faults else "")
         header = [(b"X-Request-Id", request_id), *server.extra_header]
         if server.limit is not None:
             header.append((b"Server-Limit", server.limit))
@@ -372,6 +401,8 @@
         if fault == "full":
             if server.retry_after is not None:
                 header.append((b"Retry-After", server.retry_after))
+            if server.names_faulty is not None:
+                header.append((b"At-Server", server.names_faulty))
             server.refused_at.append(trio.current_time())
             await exchange.respond(503, [*header, (b"X-Not-Executed", b"1")], b"")
             return
@@ -380,7 +411,9 @@
         server.runs.append(request_id)
         server.run_times.append(trio.current_time())
         server.headers.append(exchange.headers)
-        if fault == "reset":
+        if fault in ("late", "late reset"):
+            await trio.sleep(pause_s)
+        if fault in ("reset", "late reset"):
             _reset(exchange)
             return
         header.append((b"X-Server-Stamp", server.id.encode()))
@@ -398,11 +431,17 @@
                 await trio.sleep(2 * _COPY_DELAY_S)
             await exchange.respond(200, header, body)
         else:
-            await self._stream(server, exchange, header, fault)
+            await self._stream(server, exchange, header, fault, pause_s)
 
-    async def _stream(self, server, exchange, header, fault) -> None:
+    async def _stream(self, server, exchange, header, fault, pause_s) -> None:
         start = int(exchange.headers.get(b"last-event-id", b"0")) + 1
+        if fault == "skip":
+            start += 1
+        if fault == "restart":
+            start = 1
         await exchange.start(200, header)
+        if fault == "pause first":
+            await trio.sleep(pause_s)
         if server.crashes_on(exchange.headers):
             await trio.sleep(_EVENT_INTERVAL_S)
             server.crash()
@@ -411,8 +450,11 @@
             await trio.sleep(_EVENT_INTERVAL_S)
             await self._pass_link(exchange._connection._stream)
             await exchange.send(b"id: %d\ndata: token\n\n" % number)
-            if fault == "pause" and number == 3:
-                await trio.sleep(_PAUSE_S)
+            if fault in ("pause", "pause cut") and number == 3:
+                await trio.sleep(pause_s)
+                if fault == "pause cut":
+                    _reset(exchange)
+                    return
             if fault == "trickle" and number == 3:
                 await exchange.send(b"id: 4\ndata: ")
                 while True:
@@ -427,6 +469,12 @@
         await exchange.end()
 
 
+def _parse_fault(text: str) -> tuple[str, float]:
+    """Return the name of a fault and the length of its pause in seconds."""
+    name, _, seconds = text.partition(":")
+    return name, float(seconds) if seconds else _PAUSE_S
+
+
 async def _send_copy(exchange, header, body: bytes) -> None:
     """Send an answer once more, late, on a connection that may be in use again."""
     stream = exchange._connection._stream
--- a/basilwinch/platform/tests/test_tunnels.py
+++ b/basilwinch/platform/tests/test_tunnels.py
@@ -4,66 +4,11 @@
 import trio
 
 from basilwinch.exception import ServerError
-from basilwinch.platform.tests.conftest import Site, start_node
-from basilwinch.standin.port import find_free_port
+from basilwinch.platform.tests.conftest import HOSTS
 
-HOSTS = ["127.0.0.41", "127.0.0.42", "127.0.0.43"]
 STREAM_BODY = b"".join(b"id: %d\ndata: token\n\n" % number for number in range(1, 7))
 
 
-class Fleet:
-    """Three nodes of one platform: ``sites`` in the order of ``HOSTS``, and scopes to end them."""
-
-    def __init__(self, platform, sites, scopes):
-        self.platform = platform
-        self.sites = sites
-        self.scopes = scopes
-
-    async def cut(self, numbers, how):
-        """Cut nodes from all servers, and wait until they know it."""
-        for number in numbers:
-            self.platform.cut_node(HOSTS[number], how)
-        nodes = [self.sites[number].node for number in numbers]
-        await self.sites[0].wait_until(lambda: all(n._links.is_disconnected for n in nodes))
-
-    async def heal(self, numbers):
-        for number in numbers:
-            self.platform.heal_node(HOSTS[number])
-        nodes = [self.sites[number].node for number in numbers]
-        await self.sites[0].wait_until(lambda: not any(n._links.is_disconnected for n in nodes))
-
-    def count_runs(self, request_id) -> int:
-        return sum(server.runs.count(request_id) for server in self.platform.servers)
-
-
-@pytest.fixture
-def run_fleet(run_with):
-    """Return a function that runs an async test with a :class:`Fleet`."""
-
-    def run(test):
-        async def with_fleet(site):
-            port = find_free_port()
-            sites, scopes = [], []
-            for number, host in enumerate(HOSTS):
-                node, settings, scope = start_node(
-                    site.platform, site.nursery, f"node-{number}", host, port
-                )
-                sites.append(Site(site.platform, node, settings, site.nursery))
-                scopes.append(scope)
-            for other in sites:
-                await site.wait_until(lambda other=other: other.node.view.configuration is not None)
-                await site.wait_until(lambda other=other: other.node._peers.count_peers() >= 3)
-                await site.wait_until(lambda other=other: len(other.node.view.servers) == 6)
-            # The node of the fixture has another port, so it carries nothing.
-            for other in sites:
-                other.node._carriers.remove("n1")
-            await test(Fleet(site.platform, sites, scopes))
-
-        run_with(with_fleet)
-
-    return run
-
-
 async def send_all_kinds(site, prefix: bytes) -> list:
     """Send a request of each kind; return statuses and bodies."""
     answers = [await site.call(b"GET", b"/safe/a", prefix + b"-safe")]
