Keep a silent chain until another one has delivered

Cause: a chain that had sent nothing for 1 s was closed, and only then the rest was sent to another one. If that one refused (503), failed or was mute, the stream was lost although its first chain went on. Besides, the report of the head was awaited without reading what had arrived, and a time in which the node itself stood still counted as silence of the chain. What has arrived is read first, the node's own delay is taken off the silence, and no backup is begun while nothing arrives from any chain (failover/silence.py). Why it works: nothing that may still deliver is closed before something else has delivered; runs and retries are counted before an attempt begins.

--- a/basilwinch/failover/silence.py
+++ b/basilwinch/failover/silence.py
@@ -10,17 +10,17 @@
 
     ``silent_s`` is the time since the last part of the response, and ``held_up_s`` the part of it
     in which this node itself was not running, both in seconds. ``is_fault_known`` tells whether a
-    member of the chain is known to be at fault. ``other_chains`` counts the other chains that serve
-    requests of this node, and ``other_silent`` those of them that are silent too.
+    member of the chain is known to be at fault. ``chains`` counts the chains that serve requests of
+    this node, this one included, and ``silent_chains`` those of them that are silent.
     """
 
-    __slots__ = ("silent_s", "held_up_s", "is_fault_known", "other_chains", "other_silent")
-    _defaults = {"held_up_s": 0.0, "is_fault_known": False, "other_chains": 0, "other_silent": 0}
+    __slots__ = ("silent_s", "held_up_s", "is_fault_known", "chains", "silent_chains")
+    _defaults = {"held_up_s": 0.0, "is_fault_known": False, "chains": 1, "silent_chains": 1}
 
     @property
     def is_common(self) -> bool:
         """Whether nothing arrives from any chain, so that this node or its links are at fault."""
-        return 0 < self.other_chains == self.other_silent
+        return 1 < self.chains <= self.silent_chains
 
 
 def should_back_up(silence: Silence, max_silent_s: float) -> bool:
@@ -36,7 +36,7 @@
     True
     >>> should_back_up(Silence(1.2, held_up_s=0.9), 1.0)
     False
-    >>> should_back_up(Silence(1.2, other_chains=3, other_silent=3), 1.0)
+    >>> should_back_up(Silence(1.2, chains=3, silent_chains=3), 1.0)
     False
     """
     if silence.is_fault_known:
--- a/basilwinch/forward/tests/test_activity.py
+++ b/basilwinch/failover/tests/test_activity.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from basilwinch.forward.activity import ChainActivity
+from basilwinch.failover import ChainActivity
 
 
 @pytest.fixture
--- a/basilwinch/failover/tests/test_race.py
+++ b/basilwinch/failover/tests/test_race.py
@@ -66,13 +66,13 @@
 
 def test_known_fault_is_backed_up_at_once():
     """A stream must not wait for the time-out if the member at fault is known."""
-    assert should_back_up(Silence(0.1, is_fault_known=True, other_chains=1, other_silent=1), 1.0)
+    assert should_back_up(Silence(0.1, is_fault_known=True, chains=2, silent_chains=2), 1.0)
 
 
 def test_silence_of_all_chains_starts_no_second_runs():
     """Nodes that hear nothing from any chain must not repeat all their requests at once."""
-    assert not should_back_up(Silence(5.0, other_chains=2, other_silent=2), 1.0)
-    assert should_back_up(Silence(5.0, other_chains=2, other_silent=1), 1.0)
+    assert not should_back_up(Silence(5.0, chains=3, silent_chains=3), 1.0)
+    assert should_back_up(Silence(5.0, chains=3, silent_chains=2), 1.0)
 
 
 def test_pause_of_the_node_is_no_silence_of_the_chain():
--- a/basilwinch/forward/components.py
+++ b/basilwinch/forward/components.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from basilwinch.failover import ChainActivity
 from basilwinch.forward.context import Context
 
 __all__ = ["Components"]
@@ -15,6 +16,7 @@
     """Components of a node that the forwarders use.
 
     ``capacity_released`` is an event that is set when a request of this node leaves its chain.
+    ``activity`` is the :class:`~basilwinch.failover.ChainActivity` of this node.
 
     :param view: :class:`~basilwinch.view.View`
     :param pool: connections to servers
@@ -47,6 +49,7 @@
         "crash_attribution",
         "server_limits",
         "connector",
+        "activity",
         "capacity_released",
     )
 
@@ -81,6 +84,7 @@
         self.crash_attribution = crash_attribution
         self.server_limits = server_limits
         self.connector = connector
+        self.activity = ChainActivity()
         self.capacity_released = trio.Event()
 
     def choose_server(self, context: Context, tried):
@@ -122,23 +126,30 @@
         """
         return self.zone_link_budget.allows(tokens * context.service.engine.token_transfer_s)
 
-    def find_path(self, context: Context, tokens: int, avoid, cross_zones: bool):
+    def find_path(
+        self, context: Context, tokens: int, avoid, cross_zones: bool, other_head: str | None = None
+    ):
         """Return a path with enough free memory for a request, or None.
 
         :param tokens: tokens of the request's KV cache
         :param avoid: ids of servers to leave out
         :param cross_zones: whether the path may cross between zones
+        :param other_head: id of a server that is the first of the path only if no other can be
         """
-        engine, prompt_tokens = context.service.engine, context.info.prompt_tokens
-        servers = self.list_servers(context)
         # Only the first server of a path receives the request.
-        avoid_heads = self._list_exhausted(servers)
+        avoid_heads = self._list_exhausted(self.list_servers(context))
+        if other_head is not None:
+            path = self._find_path(context, tokens, avoid, cross_zones, avoid_heads | {other_head})
+            if path is not None:
+                return path
+        return self._find_path(context, tokens, avoid, cross_zones, avoid_heads)
+
+    def _find_path(self, context: Context, tokens: int, avoid, cross_zones: bool, avoid_heads):
+        engine, prompt_tokens = context.service.engine, context.info.prompt_tokens
         if self.load.nodes > _MAX_NODES_FOR_FASTEST_PATH:
-            entries = self.view.servers
-            name = context.service.name
             path = self.chain_selection.find(
-                name,
-                entries,
+                context.service.name,
+                self.view.servers,
                 engine,
                 tokens,
                 prompt_tokens,
@@ -148,6 +159,7 @@
             )
             if path is not None:
                 return path
+        servers = self.list_servers(context)
         return self.path_finder.find(
             servers, engine, tokens, prompt_tokens, avoid, cross_zones, avoid_heads
         )
