--- a/basilwinch/platform/tests/test_silent_chains.py
+++ b/basilwinch/platform/tests/test_silent_chains.py
@@ -1,8 +1,18 @@
 """End-to-end tests of streams whose chain falls silent, and of the chain that takes over."""
 
+import contextlib
+import queue
+import threading
+import time
+
 import pytest
+import trio
 
 from basilwinch.exception import ServerError
+from basilwinch.forward.budget import RetryBudget
+from basilwinch.platform.tests.conftest import Site, start_node
+from basilwinch.platform.tests.standin import StandinPlatform
+from basilwinch.standin.port import find_free_port
 
 _TOKENS = (b"X-Token-Count", b"100,18")
 _STREAM = b"".join(b"id: %d\ndata: token\n\n" % number for number in range(1, 7))
@@ -17,26 +27,67 @@
     return configuration
 
 
+def make_id(fault):
+    """Return a part of a node id without spaces, as KNOWN-RED.txt can list only such ids."""
+    return fault.replace(" ", "-")
+
+
 def list_heads(site):
     """Return the servers that hold the first layers."""
     return [server for server in site.platform.servers if server.layers and not server.layers[0]]
 
 
-async def set_faults(site, first, other):
-    """Give the head that is asked first the fault ``first``, and all later requests ``other``."""
+def count_received(site, request_id=b"r"):
+    """Return how often a request reached a server."""
+    return sum(
+        received_id == request_id
+        for server in site.platform.servers
+        for received_id, _ in server.received
+    )
+
+
+def count_runs(site):
+    """Return the number of runs at all servers."""
+    return sum(len(server.runs) for server in site.platform.servers)
+
+
+async def set_faults(site, first, *others):
+    """Give the head that is asked first the fault ``first``, and later requests the ``others``.
+
+    The last of them holds for all further requests; without any, later requests have no fault.
+    """
     heads = list_heads(site)
     for head in heads:
         head.faults = [first]
-    await site.wait_until(lambda: any(head.runs for head in heads))
+    await site.wait_until(lambda: any(head.received for head in heads))
+    remaining = [*others, *others[-1:] * 50]
+    # One list for all heads: the faults follow the order of the requests, whoever gets them.
     for head in heads:
-        head.faults = [other] * 50
+        head.faults = remaining
+
+
+async def wait_for_backup(site):
+    """Wait until a second chain runs the request; return the heads of the first and the second."""
+    heads = list_heads(site)
+    await site.wait_until(lambda: sum(bool(head.received) for head in heads) == 2)
+    first, second = sorted(
+        (head for head in heads if head.received), key=lambda head: head.received[0][1]
+    )
+    return first, second
+
 
+def is_load_zero(site):
+    """Return whether the node counts no request at any server."""
+    return all(
+        load.requests == 0 and load.token_layers == 0 for load in site.node.load.own.values()
+    )
 
-async def send_stream(site, request_id=b"r"):
+
+async def send_stream(site, request_id=b"r", deadline_ms=_DEADLINE_MS, tokens=_TOKENS):
     """Send a stream request; return its status and body, or the error that broke it off."""
     try:
         status, _, body = await site.call(
-            b"POST", b"/s/a", request_id, b"{}", headers=[_TOKENS], deadline_ms=_DEADLINE_MS
+            b"POST", b"/s/a", request_id, b"{}", headers=[tokens], deadline_ms=deadline_ms
         )
     except ServerError as error:
         return "broken off", error.failure.reason
@@ -53,3 +104,481 @@
         assert await send_stream(site) == (200, _STREAM)
 
     run_with(test)
+
+
+@pytest.mark.parametrize("fault", ["full", "error", "reset", "mute"])
+@pytest.mark.parametrize("pause", ["late", "pause first"], ids=make_id)
+def test_pause_before_the_first_event_does_not_lose_the_request(run_with, pause, fault):
+    """Guards against a request that fails because its silent chain was closed before another one
+    had delivered an event, while the caller still waited for the first one."""
+
+    async def test(site):
+        site.nursery.start_soon(set_faults, site, f"{pause}:1.6", fault)
+        assert await send_stream(site) == (200, _STREAM)
+
+    run_with(test)
+
+
+@pytest.mark.parametrize("fault", ["skip", "restart"])
+def test_backup_that_resumes_at_another_event_neither_skips_nor_repeats_any(run_with, fault):
+    """Guards against a missing or repeated event when the second chain resumes at another one."""
+
+    async def test(site):
+        site.nursery.start_soon(set_faults, site, "pause", fault)
+        assert await send_stream(site) == (200, _STREAM)
+        assert count_received(site) <= 2
+
+    run_with(test)
+
+
+def test_events_of_two_chains_that_go_on_together_reach_the_caller_once(run_with):
+    """Guards against an event that is relayed twice, or lost, as both chains deliver it at the same
+    time."""
+    pauses = [1.02 + number / 50 for number in range(10)]
+
+    async def test(site):
+        answers = []
+
+        async def send(number):
+            answers.append(await send_stream(site, b"r%d" % number))
+
+        for head in list_heads(site):
+            head.faults = [f"pause:{pause}" for pause in pauses]
+        async with trio.open_nursery() as callers:
+            for number in range(len(pauses)):
+                callers.start_soon(send, number)
+            await site.wait_until(
+                lambda: sum(len(h.received) for h in list_heads(site)) >= len(pauses)
+            )
+            for head in list_heads(site):
+                head.faults = []
+        assert answers == [(200, _STREAM)] * len(pauses)
+        assert all(count_received(site, b"r%d" % n) <= 2 for n in range(len(pauses)))
+        await site.wait_until(lambda: is_load_zero(site))
+
+    run_with(test)
+
+
+@pytest.mark.parametrize("max_attempts", [1, 2, 3])
+def test_request_never_runs_more_often_than_its_route_allows(run_with, configuration, max_attempts):
+    """Guards against runs of a second chain that are not counted, as the first one goes on."""
+    for route in configuration["routes"]:
+        route["max-attempts"] = max_attempts
+
+    async def test(site):
+        site.nursery.start_soon(set_faults, site, "pause:1.8", "pause first:1.8")
+        assert await send_stream(site) == (200, _STREAM)
+        assert count_runs(site) <= max_attempts
+        await site.wait_until(lambda: is_load_zero(site))
+
+    run_with(test, chains=4)
+
+
+@pytest.mark.parametrize("fault", ["pause first:0.6", "full", "reset"], ids=make_id)
+def test_retry_budget_is_taken_once_for_each_backup(run_with, monkeypatch, fault):
+    """Guards against second chains that the shared budget does not count, or counts twice."""
+    taken = []
+    take = RetryBudget.take
+
+    def count(self, service):
+        is_allowed = take(self, service)
+        taken.append(is_allowed)
+        return is_allowed
+
+    monkeypatch.setattr(RetryBudget, "take", count)
+
+    async def test(site):
+        site.nursery.start_soon(set_faults, site, "pause", fault)
+        assert await send_stream(site) == (200, _STREAM)
+        assert count_received(site) >= 2
+        assert taken.count(True) == count_received(site) - 1
+
+    run_with(test)
+
+
+def test_load_of_both_chains_is_counted_while_both_run(run_with):
+    """Guards against requests that are sent to servers whose memory a second chain already uses,
+    and against load that stays counted after the stream."""
+
+    async def test(site):
+        site.nursery.start_soon(set_faults, site, "pause:2.0", "pause first:0.5")
+        answers = []
+
+        async def send():
+            answers.append(await send_stream(site))
+
+        async with trio.open_nursery() as callers:
+            callers.start_soon(send)
+            first, second = await wait_for_backup(site)
+            await trio.sleep(0.2)
+            assert not first.closed and not second.closed
+            own = site.node.load.own
+            assert own[first.id].requests == own[second.id].requests == 1
+            assert sum(load.requests for load in own.values()) == 4
+        assert answers == [(200, _STREAM)]
+        await site.wait_until(lambda: is_load_zero(site))
+
+    run_with(test)
+
+
+def test_primary_that_goes_on_first_is_kept_and_the_backup_is_closed(run_with):
+    """Guards against a stream that waits for a slow second chain although the first one goes on,
+    and against a second chain that keeps its server busy after that."""
+
+    async def test(site):
+        site.nursery.start_soon(set_faults, site, "pause", "pause first:2.0")
+        start = trio.current_time()
+        assert await send_stream(site) == (200, _STREAM)
+        assert trio.current_time() - start < 1.7
+        first, second = await wait_for_backup(site)
+        with trio.fail_after(0.5):
+            await site.wait_until(lambda: second.closed)
+        assert not first.closed
+        assert await send_stream(site, b"r2") == (200, _STREAM)
+
+    run_with(test)
+
+
+def test_backup_that_delivers_first_is_relayed_and_the_primary_is_closed(run_with):
+    """Guards against a stream that stays with a chain that never goes on, and against a first chain
+    that keeps its server busy after another one has taken over."""
+
+    async def test(site):
+        site.nursery.start_soon(set_faults, site, "pause:3.0", "")
+        start = trio.current_time()
+        assert await send_stream(site) == (200, _STREAM)
+        assert trio.current_time() - start < 1.6
+        first, second = await wait_for_backup(site)
+        with trio.fail_after(0.5):
+            await site.wait_until(lambda: first.closed)
+        assert not second.closed
+
+    run_with(test)
+
+
+def test_answer_has_the_header_of_the_chain_that_sent_its_first_event(run_with):
+    """Guards against the signature of one server over the events of another: the first chain sends
+    its header and is silent, and the second one sends the first event."""
+
+    async def test(site):
+        site.nursery.start_soon(set_faults, site, "pause first:3.0", "")
+        status, header, body = await site.call(
+            b"POST", b"/s/a", b"r", b"{}", headers=[_TOKENS], deadline_ms=_DEADLINE_MS
+        )
+        assert (status, body) == (200, _STREAM)
+        _, second = await wait_for_backup(site)
+        assert header[b"x-server-stamp"] == second.id.encode()
+
+    run_with(test)
+
+
+@pytest.mark.parametrize("max_attempts", [2, 3])
+def test_stream_whose_chains_both_die_ends_or_goes_on_at_a_third(
+    run_with, configuration, max_attempts
+):
+    """Guards against a stream that hangs until its time limit, or runs too often, after the second
+    chain has died with the first."""
+    for route in configuration["routes"]:
+        route["max-attempts"] = max_attempts
+
+    async def test(site):
+        site.nursery.start_soon(set_faults, site, "pause cut:1.5", "late reset:0.3", "")
+        start = trio.current_time()
+        answer = await send_stream(site)
+        assert trio.current_time() - start < 2.6
+        assert (answer == (200, _STREAM)) == (max_attempts == 3)
+        assert count_runs(site) == max_attempts
+        await site.wait_until(lambda: is_load_zero(site))
+
+    run_with(test)
+
+
+def test_chains_of_both_runs_are_closed_when_the_caller_leaves(run_with):
+    """Guards against servers that go on with a stream whose caller has left (GONE)."""
+
+    async def test(site):
+        site.nursery.start_soon(set_faults, site, "pause:3.0", "pause first:3.0")
+        with trio.CancelScope() as scope:
+            async with trio.open_nursery() as callers:
+                callers.start_soon(send_stream, site)
+                first, second = await wait_for_backup(site)
+                await trio.sleep(0.2)
+                assert not first.closed and not second.closed
+                scope.cancel()
+        with trio.fail_after(0.5):
+            await site.wait_until(lambda: first.closed and second.closed)
+        await site.wait_until(lambda: is_load_zero(site))
+
+    run_with(test)
+
+
+def test_stream_with_two_chains_ends_whole_while_the_node_drains(run_with, monkeypatch):
+    """Guards against a node that stops while one of its streams waits for two chains."""
+    monkeypatch.setattr("basilwinch.entry.node._ACCEPT_AFTER_STOP_S", 0.1)
+
+    async def test(site):
+        site.nursery.start_soon(set_faults, site, "pause:1.8", "pause first:2.5")
+        answers = []
+
+        async def send():
+            answers.append(await send_stream(site))
+
+        async with trio.open_nursery() as callers:
+            callers.start_soon(send)
+            first, second = await wait_for_backup(site)
+            await trio.sleep(0.1)
+            assert not first.closed and not second.closed
+            await site.node._drain()
+        assert answers == [(200, _STREAM)]
+
+    run_with(test)
+
+
+@pytest.mark.parametrize("fault", ["full", "pause first:0.3"], ids=make_id)
+def test_carried_stream_survives_the_pause_of_its_chain(run_fleet, fault):
+    """Guards against a stream that is lost at a node without links, which opens the second chain
+    through another node."""
+
+    async def test(fleet):
+        await fleet.cut([0], "refuse")
+        site = fleet.sites[0]
+        site.nursery.start_soon(set_faults, site, "pause", fault)
+        assert await send_stream(site) == (200, _STREAM)
+        assert count_runs(site) <= 2
+        await site.wait_until(lambda: is_load_zero(site))
+
+    run_fleet(test)
+
+
+@pytest.mark.parametrize(
+    "fault", ["full", "reset", "pause first:0.3", "pause first:2.0"], ids=make_id
+)
+def test_second_chain_may_share_members_with_the_first(run_with, fault):
+    """Guards against load that is counted once for two runs at one server, and against a first
+    chain that is lost when a chain over one of its members fails."""
+
+    async def test(site):
+        tails = [s for s in site.platform.servers if s.layers and s.layers[0]]
+        tails[0].state = "draining"
+        site.platform.register(tails[0])
+        await site.wait_until(lambda: site.node.view.servers[tails[0].id].leaving)
+        site.nursery.start_soon(set_faults, site, "pause", fault)
+        assert await send_stream(site) == (200, _STREAM)
+        hops = [h[b"x-hop-count"] for head in list_heads(site) for h in head.headers]
+        assert all(b":%d=" % tails[1].port in hop for hop in hops)
+        await site.wait_until(lambda: is_load_zero(site))
+
+    run_with(test)
+
+
+def test_refusal_that_names_a_shared_member_leaves_the_first_chain_running(run_with):
+    """Guards against a first chain that is closed because the second one names one of its members
+    as at fault."""
+
+    async def test(site):
+        tails = [s for s in site.platform.servers if s.layers and s.layers[0]]
+        for head in list_heads(site):
+            head.names_faulty = b"127.0.0.1:%d" % tails[0].port
+        site.nursery.start_soon(set_faults, site, "pause", "full")
+        assert await send_stream(site) == (200, _STREAM)
+
+    run_with(test)
+
+
+def test_backup_that_says_it_is_leaving_gets_no_more_requests(run_with):
+    """Guards against answers of a second chain whose header goes unread."""
+
+    async def test(site):
+        for head in list_heads(site):
+            head.names_leaving = True
+        site.nursery.start_soon(set_faults, site, "pause:2.0", "pause first:0.3")
+        assert (await send_stream(site))[0] == 200
+        first, second = await wait_for_backup(site)
+        assert site.node.view.servers[second.id].leaving
+
+    run_with(test)
+
+
+def test_backup_that_names_a_time_to_wait_gets_no_request_until_then(run_with):
+    """Guards against a full server that each silent stream asks again."""
+
+    async def test(site):
+        for head in list_heads(site):
+            head.retry_after = b"3.0"
+        site.nursery.start_soon(set_faults, site, "pause:1.8", "full")
+        assert await send_stream(site) == (200, _STREAM)
+        assert max(len(head.refused_at) for head in list_heads(site)) == 1
+
+    run_with(test)
+
+
+def test_broken_stream_waits_for_a_path_as_long_as_its_caller_does(run_with):
+    """Guards against a stream that is given up after half of its objective (0.2 s), although its
+    caller, who can't try it again, would have waited for the rest."""
+
+    async def test(site):
+        head = list_heads(site)[0]
+        head.faults, head.retry_after = ["cut", "full"], b"1.0"
+        assert await send_stream(site) == (200, _STREAM)
+        assert len(head.runs) == 2
+
+    run_with(test, chains=1)
+
+
+def test_broken_stream_ends_once_its_caller_would_have_left(run_with):
+    """Guards against a stream that waits for a path up to its time limit, for nobody."""
+
+    async def test(site):
+        head = list_heads(site)[0]
+        head.faults, head.retry_after = ["cut", "full"], b"10.0"
+        start = trio.current_time()
+        assert (await send_stream(site))[0] == "broken off"
+        assert 1.0 < trio.current_time() - start < 2.5
+
+    run_with(test, chains=1)
+
+
+def test_broken_stream_gets_a_free_chain_before_new_requests(run_with):
+    """Guards against a broken stream, which can't be tried again, that loses each free chain to
+    requests that have not begun."""
+    tokens = (b"X-Token-Count", b"45000,200")  # the chain has memory for one such request
+
+    async def test(site):
+        head = list_heads(site)[0]
+        head.faults, head.retry_after = ["cut", "full"], b"0.7"
+        answers = []
+
+        async def send():
+            answers.append(await send_stream(site, b"broken", tokens=tokens))
+
+        async def send_new(number):
+            while True:
+                await send_stream(site, b"new%d" % number, tokens=tokens)
+
+        async with trio.open_nursery() as callers:
+            async with trio.open_nursery() as first:
+                first.start_soon(send)
+                await site.wait_until(lambda: head.received)
+                for number in range(8):
+                    callers.start_soon(send_new, number)
+            callers.cancel_scope.cancel()
+        assert answers == [(200, _STREAM)]
+        refused_at = head.refused_at[0]
+        later = [request_id for request_id, at in head.received if at > refused_at]
+        assert later[0] == b"broken"
+
+    run_with(test, chains=1)
+
+
+def test_streams_wait_without_further_requests_while_nothing_reaches_the_node(run_with):
+    """Guards against a storm of second runs when all chains fall silent at once, which a link or a
+    machine causes and no other chain mends."""
+
+    async def test(site):
+        answers = []
+
+        async def send(number):
+            answers.append(await send_stream(site, b"r%d" % number))
+
+        def list_received():
+            return [row for server in site.platform.servers for row in server.received]
+
+        for head in list_heads(site):
+            head.faults = ["pause:0.2"] * 8
+        async with trio.open_nursery() as callers:
+            for number in range(8):
+                callers.start_soon(send, number)
+            await site.wait_until(lambda: len(list_received()) == 8)
+            await trio.sleep(0.1)
+            assert not answers
+            site.platform.silence_servers(1.4)
+            silent_until = trio.current_time() + 1.4
+        assert answers == [(200, _STREAM)] * 8
+        assert len([at for _, at in list_received() if at < silent_until]) == 8
+
+    run_with(test)
+
+
+def test_slow_time_of_all_servers_leaves_all_streams_whole(run_with):
+    """Guards against streams that are lost, or run too often, when all chains are slow at once
+    while their servers' reports look sound."""
+
+    async def test(site):
+        answers = []
+
+        async def send(number):
+            answers.append(await send_stream(site, b"r%d" % number))
+
+        for head in list_heads(site):
+            head.faults = ["pause:1.5"] * 8
+        async with trio.open_nursery() as callers:
+            for number in range(8):
+                callers.start_soon(send, number)
+            await site.wait_until(lambda: sum(len(h.runs) for h in list_heads(site)) >= 8)
+            for head in list_heads(site):
+                head.faults = ["full"] * 50
+        assert answers == [(200, _STREAM)] * 8
+
+    run_with(test)
+
+
+@contextlib.contextmanager
+def run_platform_elsewhere(configuration):
+    """Run a platform with two chains in a thread of its own, which goes on while the node stops."""
+    started = queue.Queue()
+
+    async def main():
+        platform = StandinPlatform(configuration)
+        async with trio.open_nursery() as nursery:
+            await platform.start(nursery)
+            for number in range(4):
+                await platform.add_server(nursery, f"c{number}", "llm", "card")
+            started.put((platform, nursery, trio.lowlevel.current_trio_token()))
+
+    thread = threading.Thread(target=trio.run, args=(main,))
+    thread.start()
+    platform, nursery, token = started.get(timeout=10)
+    try:
+        yield platform
+    finally:
+        token.run_sync_soon(nursery.cancel_scope.cancel)
+        thread.join(timeout=10)
+
+
+@pytest.mark.parametrize("report_delay_s", [0.0, 0.05])
+def test_pause_of_the_node_itself_starts_no_second_run(configuration, report_delay_s):
+    """Guards against a node that takes its own pause for the silence of its chains: the events are
+    there when it wakes, and the query of a report that it had sent before has timed out."""
+
+    async def main(platform):
+        async with trio.open_nursery() as nursery:
+            node, settings, _ = start_node(platform, nursery, "n1", "127.0.0.1", find_free_port())
+            site = Site(platform, node, settings, nursery)
+            servers = platform.servers
+            await site.wait_until(lambda: node.view.configuration is not None)
+            await site.wait_until(lambda: len(node.view.servers) == len(servers))
+            await site.wait_until(lambda: all(s.layers for s in node.view.servers.values()))
+            answers = []
+
+            async def send(number):
+                answers.append(await send_stream(site, b"r%d" % number))
+
+            for head in list_heads(site):
+                head.faults, head.report_delay_s = ["pause:0.4"] * 8, report_delay_s
+            async with trio.open_nursery() as callers:
+                for number in range(8):
+                    callers.start_soon(send, number)
+                while sum(len(server.received) for server in servers) < 8:
+                    await trio.sleep(0.002)
+                reports = sum(server.reports for server in servers)
+                with trio.move_on_after(0.35):
+                    while sum(server.reports for server in servers) == reports:
+                        await trio.sleep(0.001)
+                assert not answers
+                time.sleep(1.3)
+            assert answers == [(200, _STREAM)] * 8
+            assert sum(len(server.received) for server in servers) == 8
+            nursery.cancel_scope.cancel()
+
+    with run_platform_elsewhere(configuration) as platform:
+        trio.run(main, platform)
