Let a broken stream wait for a chain as long as its caller can use it

Callers saw: streams that had begun ended 0.25 s after a reset of their chain, with 15 to 19 s of their time limit left. A refused request can be sent again by its caller, a broken stream can't. Cause: a stream without a chain waited for a path like a new request, for half of the objective, and a spent retry budget ended it at once. Change: a stream that has begun waits until its caller would leave (the longest of 2 s, four objectives and eight gap targets after the last event), for a retry too, while new requests of its service on this node let it go first. Refusals are paced, and allowed more often than before the first event.

--- a/basilwinch/forward/components.py
+++ b/basilwinch/forward/components.py
@@ -1,5 +1,7 @@
 """Components that all forwarders share."""
 
+from collections import Counter
+
 import trio
 
 from basilwinch.failover import ChainActivity
@@ -16,6 +18,7 @@
     """Components of a node that the forwarders use.
 
     ``capacity_released`` is an event that is set when a request of this node leaves its chain.
+    ``resuming`` counts, by service, the responses that have begun and wait for a chain.
     ``activity`` is the :class:`~basilwinch.failover.ChainActivity` of this node.
 
     :param view: :class:`~basilwinch.view.View`
@@ -51,6 +54,7 @@
         "connector",
         "activity",
         "capacity_released",
+        "resuming",
     )
 
     def __init__(
@@ -86,6 +90,7 @@
         self.connector = connector
         self.activity = ChainActivity()
         self.capacity_released = trio.Event()
+        self.resuming: Counter[str] = Counter()
 
     def choose_server(self, context: Context, tried):
         """Return a plain server that has not been tried and is below its limit, or None.
--- a/basilwinch/forward/context.py
+++ b/basilwinch/forward/context.py
@@ -2,6 +2,12 @@
 
 __all__ = ["Context"]
 
+# Callers leave a stream after a gap between events of this time, or of these multiples of the
+# route's objective and of its target for gaps, whichever is longest.
+_MIN_LEAVE_GAP_S = 2.0
+_LEAVE_OBJECTIVES = 4.0
+_LEAVE_GAP_TARGETS = 8.0
+
 
 class Context:
     """A request in progress, with what is recorded about it.
@@ -77,6 +83,14 @@
             self.longest_gap_s = max(self.longest_gap_s, now - self._last_events_at)
         self._last_events_at = now
 
+    def compute_leave_time(self) -> float:
+        """Return the time in seconds at which the caller of a stream leaves if nothing arrives."""
+        return self._last_events_at + max(
+            _MIN_LEAVE_GAP_S,
+            _LEAVE_OBJECTIVES * self.route.objective_s,
+            _LEAVE_GAP_TARGETS * (self.route.gap_s or 0.0),
+        )
+
     def find_missed_objectives(self) -> list[str]:
         """Return the objectives that the stream missed: ``first`` event, ``gap`` between events."""
         missed = []
--- a/basilwinch/forward/stream.py
+++ b/basilwinch/forward/stream.py
@@ -31,8 +31,10 @@
 _DEFAULT_OUTPUT_TOKENS = 200  # reserved if the caller gives no maximum and no lower estimate
 _RESPONSE_MARGIN_S = 0.03  # before the deadline, so that a response still reaches the caller
 _MAX_ATTEMPTS = 4  # for each request, the first included; retries also count against the budget
-# Pause after the first refused backup, doubled with each further one. Chains that are full do not
-# become free at once, and other nodes may try the same ones.
+# The same for a response that has begun. Its caller can't repeat it, as it can a refused request.
+_MAX_ATTEMPTS_AFTER_START = 10
+# Pause after the first refusal of a response that has begun, doubled with each further one. Chains
+# that are full do not become free at once, and other nodes may try the same ones.
 _MIN_REFUSAL_PAUSE_S = 0.05
 _MAX_REFUSAL_PAUSE_S = 0.4
 # After a crash, other nodes vouch within this time for parts of prompts that they know; covers a
@@ -79,6 +81,7 @@
         "_race",
         "_refusals",
         "_paused_until",
+        "_is_waiting",
         "_log",
     )
 
@@ -90,7 +93,8 @@
         self._avoid: set[str] = set()
         self._race = Race(context.route.max_attempts if context.route.resumable else 1)
         self._refusals = 0  # since the last event
-        self._paused_until = 0.0  # no backup begins before, in seconds
+        self._paused_until = 0.0  # no attempt begins before, in seconds
+        self._is_waiting = False  # for a chain, ahead of new requests
         self._log = structlog.get_logger("stream")
 
     async def run(self) -> Answered | Failure | None:
@@ -112,7 +116,7 @@
                 return self._finalize_failure(
                     DEADLINE_EXCEEDED.because("no time left for another attempt")
                 )
-            if not self._race.may_begin(_MAX_ATTEMPTS):
+            if not self._race.may_begin(self._max_attempts):
                 return self._finalize_failure(failure)
 
     def close(self) -> None:
@@ -120,6 +124,10 @@
         for attempt in self._race.active:
             self._end(attempt, True)
 
+    @property
+    def _max_attempts(self) -> int:
+        return _MAX_ATTEMPTS_AFTER_START if self._context.exchange.started else _MAX_ATTEMPTS
+
     def _finalize_failure(self, failure: Failure) -> Failure:
         if self._context.exchange.started:
             return STREAM_LOST.because(failure.reason)
@@ -164,40 +172,62 @@
         return info.prompt_tokens + output
 
     async def _take_path(self):
-        """Return a path with free capacity, with its retry counted, or a failure."""
-        path = await self._wait_for_path()
-        if isinstance(path, Failure):
-            return path
-        failure = self._take_retry()
-        return path if failure is None else failure
+        """Return a path with free capacity, with its retry counted, or a failure.
+
+        A request waits for a fraction of its objective. A response that has begun waits, for a
+        retry too, as long as its caller can use it.
+        """
+        context = self._context
+        if not context.exchange.started:
+            wait_s = context.route.objective_s * _MAX_WAIT_FRACTION
+            return await self._wait_for_path(min(trio.current_time() + wait_s, context.deadline))
+        await trio.sleep_until(self._paused_until)
+        try:
+            return await self._wait_for_path(min(context.compute_leave_time(), context.deadline))
+        finally:
+            self._set_waiting(False)
 
-    async def _wait_for_path(self):
-        """Return a path with free capacity, or a failure after a bounded wait."""
+    async def _wait_for_path(self, wait_until: float):
+        """Return a path with its retry counted, or a failure after a time in seconds."""
         components, context = self._components, self._context
-        objective_s = context.route.objective_s
-        wait_until = min(trio.current_time() + objective_s * _MAX_WAIT_FRACTION, context.deadline)
         tokens = self._count_reserved_tokens()
         cross_zones = components.may_cross_zones(context, tokens)
+        started = context.exchange.started
+        wait_s = wait_until - trio.current_time()
         while True:
-            path = components.find_path(context, tokens, self._avoid, cross_zones)
-            if path is not None:
-                return path
-            if self._avoid and self._race.attempts:
-                # No path without the avoided servers has free capacity: they are allowed again.
-                self._avoid.clear()
-                continue
+            failure = None
+            if started or not components.resuming[context.service.name]:
+                path = components.find_path(context, tokens, self._avoid, cross_zones)
+                if path is None and self._avoid and self._race.attempts:
+                    # No path without the avoided servers has free capacity: they are allowed again.
+                    self._avoid.clear()
+                    continue
+                self._set_waiting(started and path is None)
+                if path is not None:
+                    failure = self._take_retry()
+                    if failure is None:
+                        return path
+                    if not started:
+                        return failure
             now = trio.current_time()
             if now >= wait_until:
+                if failure is not None:
+                    return failure
                 exhausted = components.count_exhausted(context)
                 return QUEUE_FULL.because(
                     f"no chain had free KV cache for {tokens} tokens before the deadline or within "
-                    f"{objective_s * _MAX_WAIT_FRACTION:.2f} s; "
-                    f"servers at their limit: {exhausted}",
+                    f"{wait_s:.2f} s; servers at their limit: {exhausted}",
                     self._draw_retry_after_s(),
                 )
             with trio.move_on_at(min(wait_until, now + _CAPACITY_POLL_S)):
                 await components.capacity_released.wait()
 
+    def _set_waiting(self, is_waiting: bool) -> None:
+        """Set whether new requests of the service let this response go first."""
+        if is_waiting != self._is_waiting:
+            self._is_waiting = is_waiting
+            self._components.resuming[self._context.service.name] += 1 if is_waiting else -1
+
     def _take_retry(self) -> Failure | None:
         """Take a retry from the budget, unless this is the first attempt.
 
@@ -282,21 +312,26 @@
             self._avoid.update(member.server for member in primary.path.members)
         else:
             primary.avoid_address(stall.faulty_address)
-        if trio.current_time() < self._paused_until or not self._race.may_begin(_MAX_ATTEMPTS):
+        if trio.current_time() < self._paused_until or not self._race.may_begin(self._max_attempts):
             return None
-        if primary.head_id in self._avoid:
+        tokens = self._count_reserved_tokens()
+        cross_zones = components.may_cross_zones(context, tokens)
+        is_head_avoided = primary.head_id in self._avoid
+        other_head = None if is_head_avoided else primary.head_id
+        path = components.find_path(context, tokens, self._avoid, cross_zones, other_head)
+        if path is None:
+            return None
+        if is_head_avoided:
             # The head may refuse connections before the reset of this one arrives; its crash must
             # be attributed all the same.
             await primary.report_failure()
+        # A suspect runs at one chain at a time.
         trial = components.crash_attribution.assess(context)
-        if isinstance(trial, Failure) or trial or not primary.is_silent:
+        if isinstance(trial, Failure) or trial:
             return None
-        tokens = self._count_reserved_tokens()
-        cross_zones = components.may_cross_zones(context, tokens)
-        path = components.find_path(context, tokens, self._avoid, cross_zones, primary.head_id)
-        if path is None or self._take_retry() is not None:
+        if not primary.is_silent or self._take_retry() is not None:
             return None
-        backup = self._add_attempt(path, trial)
+        backup = self._add_attempt(path, False)
         self._log.info(
             "backup begun",
             request=context.info.id.decode("latin-1"),
