Blame no head for a missing report while nothing arrives from any chain

Callers saw nothing of it yet: 8 streams of a node whose servers were all silent for 1.4 s began 4 to 8 second runs, though no other chain could help. Cause: the query for a head's report timed out like everything else, and a head that does not answer was taken to be at fault, which starts a backup whatever the other chains do. Change: while no chain delivers anything, a report that is missing says nothing. Result: test_streams_wait_without_further_requests_while_nothing_reaches_the_node fails before and passes now; test_silent_chains.py and test_path.py: 75 passed.

--- a/basilwinch/forward/stall.py
+++ b/basilwinch/forward/stall.py
@@ -180,9 +180,11 @@
     async def _find_faulty_address(self) -> str | None:
         """Return host:port of the member at which the request is stalled, or None.
 
-        This is taken from the head's report; a head that does not answer is itself at fault.
+        This is taken from the head's report. A head that does not answer is itself at fault, unless
+        nothing arrives from the other chains either.
         """
         report = await self._components.server_reports.fetch(self._head)
         if isinstance(report, Failure):
-            return f"{self._head.host}:{self._head.port}"
+            is_common = self.describe_silence().is_common
+            return None if is_common else f"{self._head.host}:{self._head.port}"
         return self._components.dialect.find_stalled_server(report, self._context.info.id)
