--- a/basilwinch/platform/tests/standin.py
+++ b/basilwinch/platform/tests/standin.py
@@ -53,6 +53,7 @@
         self.names_leaving = False  # whether its answers say that it leaves
         self.run_times: list[float] = []
         self.refused_at: list[float] = []  # times of the 503 of the fault "full"
+        self.answer = None  # async function that answers an exchange in place of the faults
         self.nursery = None
         self.state = "ready"
         self.born = 1  # Unix time of its start in milliseconds
@@ -362,6 +363,9 @@
             await self._run(server, exchange)
 
     async def _run(self, server, exchange) -> None:
+        if server.answer is not None:
+            await server.answer(exchange)
+            return
         request_id = exchange.headers[b"x-request-id"]
         fault = server.faults.pop(0) if server.faults else ""
         header = [(b"X-Request-Id", request_id), *server.extra_header]
--- a/bench/soak_processes.py
+++ b/bench/soak_processes.py
@@ -21,6 +21,7 @@
 from basilwinch.wire import connect
 from bench.older_build import extract_build, read_production
 from bench.proxy import FaultProxy
+from bench.silences import FAULT_NAMES, PLANTS, SilenceMode
 
 __all__ = ["Soak", "main"]
 
@@ -108,12 +109,16 @@
     :param nodes: number of processes
     :param folder: folder for settings and logs
     :param plant: violation to add to the results, which the checks must report: ``twice``,
-        ``refused``, or empty for none
+        ``refused``, ``cut`` or, with ``silences``, one of :data:`bench.silences.PLANTS`; empty for
+        none
     :param restores: whether the store is also restored from older copies, and its connections fall
         silent; a seed stands for other faults then
     :param cuts: whether nodes are also cut from all servers; a seed stands for other faults then
     :param older_build: folder of an older version, from which all nodes are upgraded one after the
         other, or with an odd seed rolled back to; None for no other version
+    :param silences: names of the faults of :class:`~bench.silences.SilenceMode` to choose from, all
+        if empty; these faults, its streams and its checks are run instead of those of this class.
+        None for no such run
     """
 
     def __init__(
@@ -126,6 +131,7 @@
         restores: bool = False,
         cuts: bool = False,
         older_build: pathlib.Path | None = None,
+        silences: list[str] | None = None,
     ):
         self.older_build = older_build
         self.is_rollback = seed % 2 == 1
@@ -148,17 +154,23 @@
         self.sent: dict[bytes, tuple[str, float]] = {}
         self.revoked: dict[str, float] = {}
         self.stopping = False
+        self.silences = None if silences is None else SilenceMode(self, silences)
 
     async def run(self) -> dict:
         """Run nodes, callers and faults, check the responses, and return a report."""
         configuration = make_configuration()
+        if self.silences is not None:
+            self.silences.prepare_configuration(configuration)
         async with trio.open_nursery() as nursery:
             self.platform = StandinPlatform(configuration)
             await self.platform.start(nursery)
             for number in range(3):
                 await self.platform.add_server(nursery, f"p{number}", "plain")
-            for number in range(6):
-                await self.platform.add_server(nursery, f"c{number}", "llm", "card")
+            if self.silences is not None:
+                await self.silences.add_servers(nursery)
+            else:
+                for number in range(6):
+                    await self.platform.add_server(nursery, f"c{number}", "llm", "card")
             self.configuration = configuration
             self.nodes = []
             for number in range(self.node_count):
@@ -169,7 +181,10 @@
                 for node in self.nodes:
                     node.build = None if self.is_rollback else self.older_build
                     node.start()
-                await self._run_callers_and_faults(nursery)
+                if self.silences is not None:
+                    await self.silences.run(nursery)
+                else:
+                    await self._run_callers_and_faults(nursery)
             finally:
                 for node in self.nodes:
                     node.send_signal(signal.SIGCONT)
@@ -177,6 +192,12 @@
                     if node.process:
                         node.process.wait()
             nursery.cancel_scope.cancel()
+        if self.silences is not None:
+            return {
+                "violations": self.violations,
+                "faults": self.faults,
+                **self.silences.report(),
+            }
         self._check_runs()
         self._check_cut_nodes()
         return {
@@ -495,13 +516,15 @@
     restores: bool = False,
     cuts: bool = False,
     older: str = "",
+    silences: list[str] | None = None,
 ) -> dict:
     """Run one seed and return its report; ``older`` is the commit of an older version, if any."""
     with contextlib.ExitStack() as stack:
         folder = folder or stack.enter_context(tempfile.TemporaryDirectory())
         pathlib.Path(folder).mkdir(parents=True, exist_ok=True)
         build = extract_build(older, pathlib.Path(folder).resolve()) if older else None
-        return trio.run(Soak(seed, seconds, nodes, folder, plant, restores, cuts, build).run)
+        soak = Soak(seed, seconds, nodes, folder, plant, restores, cuts, build, silences)
+        return trio.run(soak.run)
 
 
 def main(arguments=None) -> int:
@@ -516,14 +539,27 @@
     parser.add_argument("--logs", default="", help="folder for logs; a temporary one by default")
     parser.add_argument("--restores", action="store_true", help="also restore the store")
     parser.add_argument("--cuts", action="store_true", help="also cut nodes from all servers")
+    parser.add_argument(
+        "--silences",
+        nargs="?",
+        const="",
+        metavar="FAULTS",
+        help="run long streams under silent and refusing servers, paused nodes and series of "
+        f"configurations instead; faults, separated by commas, of {', '.join(FAULT_NAMES)}",
+    )
     parser.add_argument(
         "--older",
         default="",
         help="commit of an older version beside this one, or 'production' for that of the deploy "
         "file; the nodes are upgraded, or with an odd seed rolled back",
     )
-    parser.add_argument("--plant", default="", choices=["", "twice", "refused", "cut"])
+    parser.add_argument("--plant", default="", choices=["", "twice", "refused", "cut", *PLANTS])
     options = parser.parse_args(arguments)
+    silences = None
+    if options.silences is not None:
+        silences = [name for name in options.silences.split(",") if name]
+        if unknown := set(silences) - set(FAULT_NAMES):
+            parser.error(f"unknown faults: {', '.join(sorted(unknown))}")
     # Suppresses the stand-in's lines on intended faults; the nodes write their own logs.
     configure_logs("json", "critical")
     failed = 0
@@ -540,6 +576,7 @@
             options.restores,
             options.cuts,
             read_production() if options.older == "production" else options.older,
+            silences,
         )
         failed += bool(report["violations"])
         print(json.dumps({"seed": seed, **report}), flush=True)
