--- a/bench/silences.py
+++ b/bench/silences.py
@@ -4,6 +4,7 @@
 """
 
 import collections
+import contextlib
 import json
 import random
 import re
@@ -33,7 +34,8 @@
 _MAX_GAP_S = 2.0  # between events of a sound server; longer only if the soak itself stood still
 _CLOSING_S = 0.5  # in which the servers of a stream that has ended are closed
 _GRACE_S = 8  # as on the sites
-_DRAINING_S = _GRACE_S * 5 / 6  # what then still runs may be cut
+_DRAINING_S = _GRACE_S * 5 / 6  # what then still runs may be cut, if sent within the next time
+_KEPT_S = 3.0
 _SERVER_SERVICES = ("llm",) * 6 + ("llm-b",) * 4  # two servers make a chain
 
 _WARM_UP_S = 3.0
@@ -235,13 +237,9 @@
         return {
             "streams": len(self.streams),
             "outcomes": dict(sorted(counts.items())),
+            "streams_beside": self._count_circumstances(self.streams),
             "second_runs": len(resumed),
-            "second_runs_beside": dict(
-                collections.Counter(
-                    "+".join(sorted(self._find_circumstances(stream))) or "nothing"
-                    for stream in resumed
-                )
-            ),
+            "second_runs_beside": self._count_circumstances(resumed),
             "max_lag_s": round(max(lags, default=0.0), 3),
             "traces": self.traces,
         }
@@ -333,26 +331,34 @@
 
     def _find_excuse(self, stream: _Stream) -> str:
         """Return why a stream may break off, or an empty string."""
-        for kind, node, start, _ in self.disturbances:
+        for kind, node, start, end in self.disturbances:
             if node is not stream.node or start > stream.ended_at:
                 continue
             if kind == "kill" and start >= stream.sent_at:
                 return "node killed"
-            drained_at = start + _DRAINING_S
-            if kind == "terminate" and stream.sent_at <= drained_at <= stream.ended_at:
-                return "at the end of grace-s"
+            if kind == "terminate" and start + _DRAINING_S <= stream.ended_at <= end + _CLOSING_S:
+                is_paused = any(
+                    other == "pause" and paused is stream.node and start < pause_end
+                    for other, paused, _, pause_end in self.disturbances
+                )
+                if is_paused or stream.sent_at <= start + _KEPT_S:
+                    return "at the end of grace-s"
         if stream.ended_at >= stream.sent_at + _DEADLINE_S - 0.1:
             return "time limit"
         if any(run.max_gap_s > _MAX_GAP_S for run in self.runs[stream.id]):
             return "server silent too long"
         return ""
 
+    def _count_circumstances(self, streams) -> dict[str, int]:
+        names = ["+".join(sorted(self._find_circumstances(stream))) for stream in streams]
+        return dict(sorted(collections.Counter(name or "nothing" for name in names).items()))
+
     def _find_circumstances(self, stream: _Stream) -> set[str]:
         """Return what disturbed the servers, the node or the soak during a stream."""
         found = {
             kind
             for kind, node, start, end in self.disturbances
-            if node in (stream.node, None) and start < stream.ended_at and end > stream.sent_at
+            if node in (stream.node, None) and start <= stream.ended_at and end >= stream.sent_at
         }
         for server in self.servers:
             if any(run.server_id == server.server.id for run in self.runs[stream.id]) and any(
@@ -458,7 +464,7 @@
                     for kind, node, start, end in self.disturbances
                     if node in (stream.node, None)
                     and start < stream.ended_at
-                    and end > stream.sent_at - _DRAINING_S
+                    and end > stream.sent_at
                 ],
                 "log": [
                     line.decode("utf-8", "replace") for line in log.splitlines() if name in line
@@ -475,16 +481,16 @@
         configuration["version"] += self.rng.randint(1, 5)
         self.soak.platform.put("op/config", json.dumps(configuration).encode())
 
-    async def disturb(self, kind: str, node, duration_s: float = 0.0) -> None:
-        """Record a disturbance of a node that starts now, and sleep until its end."""
-        now = trio.current_time()
-        self.disturbances.append((kind, node, now, now + duration_s))
-        await trio.sleep(duration_s)
-
-    async def restart(self, kind: str, node, signal_number: int) -> None:
-        """End a node's process by a signal and start it again."""
-        await self.disturb(kind, node)
-        await node.restart(signal_number)
+    @contextlib.contextmanager
+    def disturbing(self, kind: str, node):
+        """Record a disturbance of a node that lasts as long as the context."""
+        number = len(self.disturbances)
+        start = trio.current_time()
+        self.disturbances.append((kind, node, start, float("inf")))
+        try:
+            yield
+        finally:
+            self.disturbances[number] = (kind, node, start, trio.current_time())
 
 
 async def _wait_until_started(node) -> None:
@@ -514,9 +520,11 @@
 
 
 async def _pause(mode, node):
-    node.send_signal(signal.SIGSTOP)
-    await mode.disturb("pause", node, mode.rng.uniform(*_PAUSE_RANGE_S))
-    node.send_signal(signal.SIGCONT)
+    duration_s = mode.rng.uniform(*_PAUSE_RANGE_S)
+    with mode.disturbing("pause", node):
+        node.send_signal(signal.SIGSTOP)
+        await trio.sleep(duration_s)
+        node.send_signal(signal.SIGCONT)
 
 
 async def _silence(mode, node):
@@ -579,16 +587,18 @@
 
 
 async def _reload(mode, node):
-    node.send_signal(signal.SIGHUP)
-    await mode.disturb("reload", node)
+    with mode.disturbing("reload", node):
+        node.send_signal(signal.SIGHUP)
 
 
 async def _terminate(mode, node):
-    await mode.restart("terminate", node, signal.SIGTERM)
+    with mode.disturbing("terminate", node):
+        await node.restart(signal.SIGTERM)
 
 
 async def _kill(mode, node):
-    await mode.restart("kill", node, signal.SIGKILL)
+    with mode.disturbing("kill", node):
+        await node.restart(signal.SIGKILL)
 
 
 async def _restart_nodes(mode, node):
