--- a/bench/silences.py
+++ b/bench/silences.py
@@ -19,7 +19,17 @@
 __all__ = ["FAULT_NAMES", "PLANTED_WORDS", "SilenceMode"]
 
 #: Words with which the checks report each violation that the plant ``streams`` adds.
-PLANTED_WORDS = ("broke off", "wrong events", "looks complete", "ran on 3 servers", "still ran")
+PLANTED_WORDS = (
+    "broke off after 1 of",
+    "lost with 502",
+    "no end after its time limit",
+    "was denied",
+    "wrong events",
+    "looks complete",
+    "ran on 3 servers",
+    "still ran",
+    "recovery",
+)
 
 _CALLER_COUNT = 12
 _THINKING_RANGE_S = (0.0, 0.15)
@@ -224,7 +234,7 @@
             self.soak.stopping = True
         lag_scope.cancel()
         await trio.sleep(_CLOSING_S)
-        self._add_plant()
+        self._add_plant(settled_at)
         self._check_recovery(settled_at)
         for stream in self.streams:
             self._check_stream(stream)
@@ -320,13 +330,16 @@
             is_overdue = stream.ended_at - stream.sent_at > _DEADLINE_S
             return "lost: no end after its time limit" if is_overdue else "caller left"
         if stream.is_complete:
-            return "whole" if stream.status == 200 else f"refused: {stream.status}"
+            if stream.status == 200:
+                return "whole"
+            if not self.runs[stream.id]:
+                return f"refused: {stream.status}"
         if stream.error == "no connection":
             return "not connected"
         if stream.status == 0 and not self.runs[stream.id]:
             return "closed unanswered, not run"
         start = "lost" if not (cause := self._find_excuse(stream)) else "broken"
-        what = "" if stream.status else " before its head"
+        what = {200: "", 0: " before its head"}.get(stream.status, f" with {stream.status}")
         return f"{start}{what}: {cause}" if cause else f"{start}{what}"
 
     def _find_excuse(self, stream: _Stream) -> str:
@@ -415,17 +428,23 @@
                 f"recovery: {len(served)} of {len(last)} streams succeeded after the faults"
             )
 
-    def _add_plant(self) -> None:
-        """Change five whole streams, each into a violation of another check."""
+    def _add_plant(self, settled_at: float) -> None:
+        """Change whole streams, each into a violation of another check."""
         if self.soak.plant != "streams":
             return
         whole = [s for s in self.streams if self._classify(s) == "whole"]
-        lost, repeated, short, third_run, late = whole[: len(PLANTED_WORDS)]
+        lost, failed, overdue, denied, repeated, short, third_run, late = whole[:8]
         lost.is_complete, lost.body = False, _make_event(lost.id, 1)
+        failed.status = 502
+        overdue.has_left, overdue.ended_at = True, overdue.sent_at + _DEADLINE_S + _OVERDUE_S
+        denied.status = 401
         repeated.body += _make_event(repeated.id, repeated.tokens)
         short.body = _make_event(short.id, 1)
         self.runs[third_run.id] = self.runs[third_run.id][:1] * 3
         self.runs[late.id][0].ended_at = float("inf")
+        for stream in whole:
+            if stream.sent_at > settled_at:
+                stream.status = 503
 
     def _add_violation(self, stream: _Stream, text: str) -> None:
         self.soak.violations.append(text)
