--- a/basilwinch/platform/tests/standin.py
+++ b/basilwinch/platform/tests/standin.py
@@ -65,6 +65,7 @@
         self.report_delay_s = 0.0
         self.reports = 0  # queries for its report
         self.refused_at: list[float] = []  # times of the 503 of the fault "full"
+        self.answer = None  # async function that answers an exchange in place of the faults
         self.nursery = None
         self.state = "ready"
         self.born = 1  # Unix time of its start in milliseconds
@@ -391,6 +392,9 @@
                 raise
 
     async def _run(self, server, exchange) -> None:
+        if server.answer is not None:
+            await server.answer(exchange)
+            return
         request_id = exchange.headers[b"x-request-id"]
         fault, pause_s = _parse_fault(server.faults.pop(0) if server.faults else "")
         header = [(b"X-Request-Id", request_id), *server.extra_header]
