Count a chain as silent only after a time without events

It would have hidden a held-up node among common silences. Change: a chain counts as silent after 0.1 s at least. Result: test_chain_that_has_just_delivered_is_no_silent_chain fails before and passes now.

--- a/basilwinch/forward/stall.py
+++ b/basilwinch/forward/stall.py
@@ -28,6 +28,7 @@
 _CALLER_GAP_TIMEOUT_S = 2.0  # shortest gap between events after which callers leave
 # A chain counts as silent beside another one if it has been silent for this fraction of its time.
 _COMMON_SILENCE_FRACTION = 0.5
+_MIN_COMMON_SILENCE_S = 0.1  # but not before this; chains that write send something more often
 # Probes and queries time out before this; what they take beyond it, this node was held up.
 _MAX_CHECK_S = 0.2
 
@@ -113,7 +114,7 @@
         now = trio.current_time()
         silent_s = 0.0 if self._silent_since is None else now - self._silent_since
         silent_chains, chains = self._components.activity.count_silent(
-            now, silent_s * _COMMON_SILENCE_FRACTION
+            now, max(_MIN_COMMON_SILENCE_S, silent_s * _COMMON_SILENCE_FRACTION)
         )
         return Silence(silent_s, self._held_up_s, False, chains, silent_chains)
 
--- a/basilwinch/forward/tests/test_stall.py
+++ b/basilwinch/forward/tests/test_stall.py
@@ -117,3 +117,20 @@
         assert sum(total_s) == pytest.approx(1.0)
 
     trio.run(test, clock=clock)
+
+
+def test_chain_that_has_just_delivered_is_no_silent_chain(make_detector, clock):
+    """Guards against a log that shows all chains as silent whenever an attempt fails without a
+    silence."""
+    detector = make_detector()
+    activity = detector._components.activity
+
+    async def main():
+        for head in ("a", "b"):
+            activity.begin(head, trio.current_time())
+        clock.jump(1.0)
+        activity.record("b", trio.current_time())
+        silence = detector.describe_silence()
+        assert (silence.silent_chains, silence.chains) == (1, 2)
+
+    trio.run(main, clock=clock)
