Write the traceback of an unexpected error

Change: the exception is formatted into the line, which stays one line. Result: test_unexpected_error_is_logged_with_its_traceback fails before and passes now.

--- a/basilwinch/observability/logs.py
+++ b/basilwinch/observability/logs.py
@@ -31,6 +31,7 @@
             structlog.contextvars.merge_contextvars,
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso"),
+            structlog.processors.format_exc_info,
             _LineRenderer(renderer),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(logging.getLevelName(level.upper())),
--- a/basilwinch/observability/tests/test_output.py
+++ b/basilwinch/observability/tests/test_output.py
@@ -95,6 +95,16 @@
     assert b'"count": 2000' in os.read(pipe[0], 1 << 20)
 
 
+def test_unexpected_error_is_logged_with_its_traceback(log, read_lines):
+    """Guards against a line that tells only that there was an exception."""
+    try:
+        raise ValueError("broken")
+    except ValueError:
+        log.exception("unexpected error")
+    (line,) = read_lines()
+    assert "ValueError: broken" in line["exception"]
+
+
 @pytest.mark.parametrize("event", sorted(REQUEST_END_EVENTS))
 def test_line_that_ends_a_request_is_written_beyond_the_rate(log, read_lines, event):
     """Guards against a request of which the log does not tell how it ended."""
