Keep a part of the retry budget for responses that have begun

Cause: the budget made no difference between a request that its caller can send again and a response that it can't. Change: a quarter of the usable budget is kept for responses that have begun.

--- a/basilwinch/forward/budget.py
+++ b/basilwinch/forward/budget.py
@@ -7,6 +7,9 @@
 # Fraction of the budget that is used; the rest covers requests near the edges of the window, which
 # nodes may count in another one.
 _USABLE_FRACTION = 0.7
+# Fraction of the usable budget that is kept for responses that have begun. Their callers can't
+# repeat them; a request that has not begun can be refused, and sent again by its caller.
+_RESERVED_FRACTION = 0.25
 
 
 class RetryBudget:
@@ -23,7 +26,9 @@
 
     >>> budget = RetryBudget(0.2, 10, 10.0, lambda: 1, lambda: 0.0)
     >>> [budget.take("s") for _ in range(8)].count(True)
-    7
+    6
+    >>> [budget.take("s", has_begun=True) for _ in range(8)].count(True)
+    1
     """
 
     __slots__ = ("_ratio", "_slack", "_window_s", "_nodes", "_clock", "_requests", "_retries")
@@ -41,12 +46,15 @@
         """Count a request from a caller."""
         self._get_recent(self._requests, service).append(self._clock())
 
-    def take(self, service: str) -> bool:
-        """Return whether a retry may be sent, and count it if so."""
+    def take(self, service: str, has_begun: bool = False) -> bool:
+        """Return whether a retry may be sent, and count it if so.
+
+        :param has_begun: whether the response has begun, so that all of the budget may be used
+        """
         retries = self._get_recent(self._retries, service)
         requests = len(self._get_recent(self._requests, service))
         allowed = _USABLE_FRACTION * (self._ratio * requests + self._slack / self._nodes())
-        if len(retries) >= allowed:
+        if len(retries) >= (allowed if has_begun else (1 - _RESERVED_FRACTION) * allowed):
             return False
         retries.append(self._clock())
         return True
--- a/basilwinch/forward/stream.py
+++ b/basilwinch/forward/stream.py
@@ -247,8 +247,8 @@
 
         :returns: why there is none, else None
         """
-        service = self._context.service.name
-        if not self._race.attempts or self._components.retry_budget.take(service):
+        service, started = self._context.service.name, self._context.exchange.started
+        if not self._race.attempts or self._components.retry_budget.take(service, started):
             return None
         return BUDGET_SPENT.because(
             f"retry budget of service {service} is spent", self._draw_retry_after_s()
