--- a/basilwinch/platform/tests/standin.py
+++ b/basilwinch/platform/tests/standin.py
@@ -30,7 +30,8 @@
     ``unframed cut`` one that ends within event 4, and ``endless`` one whose body, or first event,
     never ends.
 
-    ``late`` answers after a pause, ``late reset`` resets the connection after one, and in a stream
+    ``late`` answers after a pause, ``late reset`` resets the connection after one, ``late body`` is
+    silent within the body of the answer to a plain request, and in a stream
     ``pause first`` is silent before the first event, ``pause cut`` is silent after event 3 and then
     resets the connection, ``skip`` leaves out the first event and ``restart`` begins at event 1
     whatever the caller has received. The length of a pause may follow in seconds (``pause:0.5``).
@@ -429,6 +430,12 @@
                 server.nursery.start_soon(_send_copy, exchange, copied, body)
             elif fault == "wait":
                 await trio.sleep(2 * _COPY_DELAY_S)
+            elif fault == "late body":
+                await exchange.start(200, header, body[:4])
+                await trio.sleep(pause_s)
+                await exchange.send(body[4:])
+                await exchange.end()
+                return
             await exchange.respond(200, header, body)
         else:
             await self._stream(server, exchange, header, fault, pause_s)
--- a/basilwinch/platform/tests/test_silent_chains.py
+++ b/basilwinch/platform/tests/test_silent_chains.py
@@ -582,3 +582,152 @@
 
     with run_platform_elsewhere(configuration) as platform:
         trio.run(main, platform)
+
+
+async def set_plain_faults(site, first, *others):
+    """Give the plain server that is asked first the fault ``first``, and later requests the
+    ``others``; the last of them holds for all further requests."""
+    servers = [server for server in site.platform.servers if server.kind is None]
+    for server in servers:
+        server.faults = [first]
+    await site.wait_until(lambda: any(server.received for server in servers))
+    remaining = [*others, *others[-1:] * 50]
+    for server in servers:
+        server.faults = remaining
+
+
+async def send_plain(site):
+    """Send an idempotent request; return its status, and the seconds until its answer."""
+    start = trio.current_time()
+    status, _, _ = await site.call(b"GET", b"/safe/a", b"r", deadline_ms=_DEADLINE_MS)
+    return status, trio.current_time() - start
+
+
+def list_asked(site):
+    """Return the plain servers that got the request, in the order in which it reached them."""
+    asked = [server for server in site.platform.servers if server.kind is None and server.received]
+    return sorted(asked, key=lambda server: server.received[0][1])
+
+
+@pytest.mark.parametrize("fault", ["full", "error", "reset", "mute"])
+def test_slow_plain_server_is_kept_until_another_one_has_answered(run_with, fault):
+    """Guards against an answer that is lost because its server, slower than 0.6 of the objective,
+    was given up for one that refuses or fails."""
+
+    async def test(site):
+        site.nursery.start_soon(set_plain_faults, site, "late:0.8", fault)
+        status, duration_s = await send_plain(site)
+        assert status == 200 and duration_s < 1.2
+        assert count_received(site) == 2
+
+    run_with(test)
+
+
+def test_plain_server_that_pauses_within_its_answer_gives_the_whole_of_it(run_with):
+    """Guards against an answer whose first part is lost while another server is tried."""
+
+    async def test(site):
+        site.nursery.start_soon(set_plain_faults, site, "late body:0.6", "full")
+        status, _, body = await site.call(b"GET", b"/safe/a", b"r", deadline_ms=_DEADLINE_MS)
+        first = list_asked(site)[0]
+        assert (status, body) == (200, b"done by " + first.id.encode())
+
+    run_with(test)
+
+
+def test_slow_plain_server_is_kept_while_no_other_one_is_left(run_with):
+    """Guards against an answer that is lost although there is nowhere else to send the request."""
+
+    async def test(site):
+        site.nursery.start_soon(set_plain_faults, site, "late:0.8")
+        assert (await send_plain(site))[0] == 200
+        assert count_received(site) == 1
+
+    run_with(test, plain=1)
+
+
+def test_slow_plain_server_is_kept_when_the_retry_budget_is_spent(run_with, monkeypatch):
+    """Guards against an answer that is lost although the request may not be sent again."""
+    monkeypatch.setattr(RetryBudget, "take", lambda *_: False)
+
+    async def test(site):
+        site.nursery.start_soon(set_plain_faults, site, "late:0.8")
+        assert (await send_plain(site))[0] == 200
+        assert count_received(site) == 1
+
+    run_with(test)
+
+
+@pytest.mark.parametrize(("first_s", "second_s"), [(0.8, 3.0), (3.0, 0.1)])
+def test_first_answer_of_two_plain_servers_wins_and_the_other_is_closed(
+    run_with, first_s, second_s
+):
+    """Guards against a wait for the slower server, and against a run that goes on for nobody."""
+
+    async def test(site):
+        site.nursery.start_soon(set_plain_faults, site, f"late:{first_s}", f"late:{second_s}")
+        status, duration_s = await send_plain(site)
+        assert status == 200 and duration_s < 1.2
+        first, second = list_asked(site)
+        loser = first if first_s > second_s else second
+        with trio.fail_after(0.5):
+            await site.wait_until(lambda: loser.closed)
+        assert len(first.closed) + len(second.closed) == 1
+        assert not any(h.outstanding for h in site.node._server_selection._health.values())
+
+    run_with(test)
+
+
+def test_two_plain_servers_that_fail_give_the_caller_an_answer_at_once(run_with):
+    """Guards against a request that waits for its time limit after both servers have failed."""
+
+    async def test(site):
+        site.nursery.start_soon(set_plain_faults, site, "late reset:0.6", "error")
+        status, duration_s = await send_plain(site)
+        assert status == 500 and duration_s < 1.0
+
+    run_with(test)
+
+
+def test_both_plain_servers_are_closed_when_the_caller_leaves(run_with):
+    """Guards against servers that go on with a request whose caller has left (GONE)."""
+
+    async def test(site):
+        site.nursery.start_soon(set_plain_faults, site, "late:3.0", "late:3.0")
+        with trio.CancelScope() as scope:
+            async with trio.open_nursery() as callers:
+                callers.start_soon(send_plain, site)
+                await site.wait_until(lambda: len(list_asked(site)) == 2)
+                await trio.sleep(0.1)
+                first, second = list_asked(site)
+                assert not first.closed and not second.closed
+                scope.cancel()
+        with trio.fail_after(0.5):
+            await site.wait_until(lambda: first.closed and second.closed)
+
+    run_with(test)
+
+
+@pytest.mark.parametrize("max_attempts", [1, 2, 3])
+def test_plain_request_never_runs_more_often_than_its_route_allows(
+    run_with, configuration, max_attempts
+):
+    """Guards against runs beyond the limit, or a third one at the same time, as the first server
+    is kept; a third server is still tried when two are silent."""
+    for route in configuration["routes"]:
+        route["max-attempts"] = max_attempts
+
+    async def test(site):
+        site.nursery.start_soon(set_plain_faults, site, "late:2.0", "late:2.0", "")
+        status, duration_s = await send_plain(site)
+        assert status == 200 and (duration_s < 1.0) == (max_attempts == 3)
+        assert count_received(site) == max_attempts
+        if max_attempts == 3:
+            first, second, third = list_asked(site)
+            with trio.fail_after(0.5):
+                await site.wait_until(lambda: first.closed and second.closed)
+            # It is closed when the third one is asked; the server may notice a little later.
+            assert second.closed[0][1] < third.received[0][1] + 0.05
+            assert first.closed[0][1] > third.received[0][1]
+
+    run_with(test, plain=4)
