Look for unread bytes without taking the error of a reset

Callers saw nothing of it yet; found by review. Before a backup begins, the node looks whether bytes of the silent chain wait to be read. With a peek at the bytes, that look took the error of a reset, and the next read saw an end in order: an answer without length or chunks would have looked whole. Change: the socket is polled instead.

--- a/basilwinch/wire/client.py
+++ b/basilwinch/wire/client.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 connections to servers."""
 
 import contextlib
+import select
 import socket
 from functools import singledispatch
 
@@ -85,14 +86,17 @@
 
 @singledispatch
 def is_open_and_silent(sock) -> bool:
-    """Return whether a socket without a request is still open and has received no bytes."""
-    try:
-        sock._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-    except BlockingIOError:
-        return True
-    except OSError:
+    """Return whether a socket is still open and has received no bytes that have not been read.
+
+    A reset stays to be read: a look at the bytes would take its error, and the next read would see
+    an end in order.
+    """
+    descriptor = sock.fileno()
+    if descriptor < 0:
         return False
-    return False
+    poll = select.poll()
+    poll.register(descriptor, select.POLLIN)
+    return not poll.poll(0)
 
 
 @singledispatch
@@ -244,7 +248,7 @@
         return True
 
     def is_open_and_silent(self) -> bool:
-        """Return whether an idle connection is still open and has received no bytes."""
+        """Return whether the connection is still open and has no bytes that were not read."""
         return is_open_and_silent(self._sock)
 
     def close(self) -> None:
