Let a race watch for known faults, and hold back only what is needed

A chain counts from its first event, and one request at a time finds out whether other chains deliver. So the test of a common silence allows one further request in place of none: none would leave streams of two hung heads waiting beside a free third chain, which the new test shows. - A broken stream that no chain has room for held back all new requests of its service. Only those whose path it could use wait. - The head of a silent chain was checked again every 0.12 s while no retry was left. - A check of a broken head was cancelled when the other attempt delivered.

--- a/basilwinch/failover/race.py
+++ b/basilwinch/failover/race.py
@@ -2,19 +2,20 @@
 
 __all__ = ["Race"]
 
-_MAX_ACTIVE = 2  # the attempt that is relayed, and one backup
+_DEFAULT_MAX_ACTIVE = 2  # the attempt that is relayed, and one backup
 
 
 class Race:
     """Attempts to produce one response, of which one at a time is relayed.
 
-    The first attempt is the primary. If it falls silent, a second one may run beside it as a
-    backup. Whichever delivers next is the primary from then on, and the other is closed. So no
+    The first attempt is the primary. If it falls silent, another one may run beside it as a
+    backup. Whichever delivers next is the primary from then on, and the others are closed. So no
     attempt is given up before another has delivered, and the parts of two runs never alternate.
 
     Attempts are any objects that can be compared by identity.
 
     :param max_runs: maximum number of attempts that may run the request
+    :param max_active: maximum number of attempts in progress at a time
 
     >>> race = Race(2)
     >>> race.begin("a"); race.begin("b")
@@ -25,10 +26,11 @@
     True
     """
 
-    __slots__ = ("_max_runs", "_active", "attempts", "runs")
+    __slots__ = ("_max_runs", "_max_active", "_active", "attempts", "runs")
 
-    def __init__(self, max_runs: int):
+    def __init__(self, max_runs: int, max_active: int = _DEFAULT_MAX_ACTIVE):
         self._max_runs = max_runs
+        self._max_active = max_active
         self._active: list = []
         #: Attempts so far, refused ones included.
         self.attempts = 0
@@ -47,7 +49,7 @@
 
         :param max_attempts: maximum number of attempts, refused ones included
         """
-        if len(self._active) >= _MAX_ACTIVE or self.attempts >= max_attempts:
+        if len(self._active) >= self._max_active or self.attempts >= max_attempts:
             return False
         return self.runs + len(self._active) < self._max_runs
 
--- a/basilwinch/failover/silence.py
+++ b/basilwinch/failover/silence.py
@@ -10,12 +10,19 @@
 
     ``silent_s`` is the time since the last part of the response, and ``held_up_s`` the part of it
     in which this node itself was not running, both in seconds. ``is_fault_known`` tells whether a
-    member of the chain is known to be at fault. ``chains`` counts the chains that serve requests of
-    this node, this one included, and ``silent_chains`` those of them that are silent.
+    member of the chain is known to be at fault. ``chains`` counts the chains in use by this node
+    that have sent it something, and ``silent_chains`` those of them that are silent. ``backups``
+    counts the requests of this node that have a backup in progress.
     """
 
-    __slots__ = ("silent_s", "held_up_s", "is_fault_known", "chains", "silent_chains")
-    _defaults = {"held_up_s": 0.0, "is_fault_known": False, "chains": 1, "silent_chains": 1}
+    __slots__ = ("silent_s", "held_up_s", "is_fault_known", "chains", "silent_chains", "backups")
+    _defaults = {
+        "held_up_s": 0.0,
+        "is_fault_known": False,
+        "chains": 1,
+        "silent_chains": 1,
+        "backups": 0,
+    }
 
     @property
     def is_common(self) -> bool:
@@ -26,8 +33,8 @@
 def should_back_up(silence: Silence, max_silent_s: float) -> bool:
     """Return whether to run the request at a second chain as well.
 
-    A second run costs a retry and load at another chain. While nothing arrives at all it would meet
-    the same cause, and all requests of the node would repeat at once.
+    A second run costs a retry and load at another chain. While nothing arrives at all it would
+    probably meet the same cause, so one request at a time finds out whether other chains deliver.
 
     :param silence: what is known of the chain
     :param max_silent_s: silence in seconds after which a chain without a known fault is backed up
@@ -36,11 +43,11 @@
     True
     >>> should_back_up(Silence(1.2, held_up_s=0.9), 1.0)
     False
-    >>> should_back_up(Silence(1.2, chains=3, silent_chains=3), 1.0)
+    >>> should_back_up(Silence(1.2, chains=3, silent_chains=3, backups=1), 1.0)
     False
     """
     if silence.is_fault_known:
         return True
-    if silence.is_common:
+    if silence.is_common and silence.backups:
         return False
     return silence.silent_s - silence.held_up_s > max_silent_s
--- a/basilwinch/forward/attempt.py
+++ b/basilwinch/forward/attempt.py
@@ -37,8 +37,8 @@
 
     It counts as load on the members, and as an attempt that may crash the head, until
     :meth:`close`. ``events`` counts the events that it has added to the stream. ``is_sent`` tells
-    that the request may have reached the head, and ``is_broken`` that its connection failed, so
-    that the head may have crashed.
+    that the request may have reached the head, ``is_broken`` that its connection failed, so that
+    the head may have crashed, and ``is_head_checked`` that the head was checked in a silence.
 
     :param components: shared :class:`~basilwinch.forward.components.Components`
     :param context: the request
@@ -68,6 +68,7 @@
         "events",
         "is_sent",
         "is_broken",
+        "is_head_checked",
     )
 
     def __init__(self, components, context, path, tokens: int, trial: bool, avoid: set[str]):
@@ -89,11 +90,12 @@
         self.events = 0
         self.is_sent = False
         self.is_broken = False
+        self.is_head_checked = False
         components.load.add(path.members, tokens)
         components.zone_link_budget.take(
             path.crossings * tokens * context.service.engine.token_transfer_s
         )
-        components.activity.begin(self.head_id, self._started_at)
+        components.activity.begin(self.head_id)
         self._suspect_attempt = components.crash_attribution.begin(context, [self.head_id], trial)
 
     @property
--- a/basilwinch/forward/components.py
+++ b/basilwinch/forward/components.py
@@ -1,6 +1,6 @@
 """Components that all forwarders share."""
 
-from collections import Counter
+from collections import defaultdict
 
 import trio
 
@@ -18,7 +18,8 @@
     """Components of a node that the forwarders use.
 
     ``capacity_released`` is an event that is set when a request of this node leaves its chain.
-    ``resuming`` counts, by service, the responses that have begun and wait for a chain.
+    ``resuming`` lists, by service, the tokens of the KV cache of each response that has begun and
+    waits for a chain. ``backups`` counts the requests that have more than one attempt in progress.
     ``activity`` is the :class:`~basilwinch.failover.ChainActivity` of this node.
 
     :param view: :class:`~basilwinch.view.View`
@@ -57,6 +58,7 @@
         "activity",
         "capacity_released",
         "resuming",
+        "backups",
     )
 
     def __init__(
@@ -94,7 +96,8 @@
         self.scheduling_delay = scheduling_delay
         self.activity = ChainActivity()
         self.capacity_released = trio.Event()
-        self.resuming: Counter[str] = Counter()
+        self.resuming: dict[str, list[int]] = defaultdict(list)
+        self.backups = 0
 
     def choose_server(self, context: Context, tried):
         """Return a plain server that has not been tried and is below its limit, or None.
--- a/basilwinch/forward/stall.py
+++ b/basilwinch/forward/stall.py
@@ -116,7 +116,9 @@
         silent_chains, chains = self._components.activity.count_silent(
             now, max(_MIN_COMMON_SILENCE_S, silent_s * _COMMON_SILENCE_FRACTION)
         )
-        return Silence(silent_s, self._held_up_s, False, chains, silent_chains)
+        return Silence(
+            silent_s, self._held_up_s, False, chains, silent_chains, self._components.backups
+        )
 
     def _describe(self, reason: str | None, address: str | None) -> Stall:
         silence = self.describe_silence().replace(is_fault_known=address is not None)
--- a/basilwinch/forward/stream.py
+++ b/basilwinch/forward/stream.py
@@ -38,6 +38,8 @@
 _DEFAULT_OUTPUT_TOKENS = 200  # reserved if the caller gives no maximum and no lower estimate
 _RESPONSE_MARGIN_S = 0.03  # before the deadline, so that a response still reaches the caller
 _MAX_ATTEMPTS = 4  # for each request, the first included; retries also count against the budget
+# A route may allow more runs than are useful beside each other.
+_MAX_ACTIVE_ATTEMPTS = 3
 # The same for a response that has begun. Its caller can't repeat it, as it can a refused request.
 _MAX_ATTEMPTS_AFTER_START = 10
 # Pause after the first refusal of a response that has begun, doubled with each further one. Chains
@@ -99,7 +101,9 @@
         self._rng = rng
         self._last_id = parse_digits(context.info.last_event_id)
         self._avoid: set[str] = set()
-        self._race = Race(context.route.max_attempts if context.route.resumable else 1)
+        self._race = Race(
+            context.route.max_attempts if context.route.resumable else 1, _MAX_ACTIVE_ATTEMPTS
+        )
         self._refusals = 0  # since the last event
         self._paused_until = 0.0  # no attempt begins before, in seconds
         self._is_waiting = False  # for a chain, ahead of new requests
@@ -210,7 +214,7 @@
         wait_s = wait_until - trio.current_time()
         while True:
             failure = None
-            if started or not components.resuming[context.service.name]:
+            if started or not self._leaves_path(tokens, cross_zones):
                 path = components.find_path(context, tokens, self._avoid, cross_zones)
                 if path is None and self._avoid and self._race.attempts:
                     # No path without the avoided servers has free capacity: they are allowed again.
@@ -236,11 +240,25 @@
             with trio.move_on_at(min(wait_until, now + _CAPACITY_POLL_S)):
                 await components.capacity_released.wait()
 
+    def _leaves_path(self, tokens: int, cross_zones: bool) -> bool:
+        """Return whether this new request waits, as a response that has begun can use its path.
+
+        A response that waits for more memory than any chain has free holds back none.
+        """
+        resuming = self._components.resuming[self._context.service.name]
+        if not resuming:
+            return False
+        needed = max(tokens, min(resuming))
+        path = self._components.find_path(self._context, needed, self._avoid, cross_zones)
+        return path is not None
+
     def _set_waiting(self, is_waiting: bool) -> None:
         """Set whether new requests of the service let this response go first."""
-        if is_waiting != self._is_waiting:
-            self._is_waiting = is_waiting
-            self._components.resuming[self._context.service.name] += 1 if is_waiting else -1
+        if is_waiting == self._is_waiting:
+            return
+        self._is_waiting = is_waiting
+        resuming = self._components.resuming[self._context.service.name]
+        (resuming.append if is_waiting else resuming.remove)(self._count_reserved_tokens())
 
     def _take_retry(self) -> Failure | None:
         """Take a retry from the budget, unless this is the first attempt.
@@ -293,6 +311,8 @@
             if isinstance(step, Ended):
                 await self._context.exchange.end()
                 return None
+            if isinstance(step, Answered):
+                return step
             await self._fail(primary, step)
             return step
 
@@ -335,7 +355,8 @@
         path = components.find_path(context, tokens, self._avoid, cross_zones, other_head)
         if path is None:
             return None
-        if is_head_avoided:
+        if is_head_avoided and not primary.is_head_checked:
+            primary.is_head_checked = True
             # The head may refuse connections before the reset of this one arrives; its crash must
             # be attributed all the same.
             await primary.report_failure()
@@ -358,10 +379,12 @@
         return backup
 
     async def _run_race(self, primary: Attempt, backup: Attempt):
-        """Run two attempts until one delivers, or only one is in progress.
+        """Run attempts beside each other until one delivers, or only one is in progress.
+
+        If the newest stalls too, a further one may begin.
 
         :returns: the attempt that is relayed from now on, and what it has delivered, or None; if
-            both have failed, the one that failed last, and how
+            all have failed, the one that failed last, and how
         """
         result = None
 
@@ -369,20 +392,33 @@
             nonlocal result
             step = None if attempt.is_open else await attempt.open(self._last_id)
             while step is None and len(self._race.active) > 1:
-                step = _find_progress(await attempt.receive(self._last_id))
+                step = await attempt.detector.wait(partial(attempt.receive, self._last_id))
+                if not isinstance(step, Stall):
+                    step = _find_progress(step)
+                    continue
+                newest = attempt is self._race.active[-1]
+                further = await self._begin_backup(attempt, step) if newest else None
+                if further is not None:
+                    nursery.start_soon(follow, further)
+                step = None
             if result is not None:
                 return
             if isinstance(step, (NotRun, OutcomeUnknown)) and len(self._race.active) > 1:
                 await self._fail(attempt, step)
-                if not self._race.active[0].is_open:
+                remaining = self._race.active
+                if len(remaining) > 1 or not remaining[0].is_open:
                     return
             elif step is not None:
                 result = (attempt, step)
             nursery.cancel_scope.cancel()
 
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(follow, primary)
-            nursery.start_soon(follow, backup)
+        self._components.backups += 1
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(follow, primary)
+                nursery.start_soon(follow, backup)
+        finally:
+            self._components.backups -= 1
         winner, step = result or (self._race.active[0], None)
         for loser in self._race.deliver(winner):
             self._log_race(winner, loser)
@@ -400,12 +436,24 @@
             self._refusals += 1
             self._paused_until = trio.current_time() + self._rng.uniform(0.5, 1.0) * pause_s
         self._record_failure(attempt, outcome)
+        if attempt.is_broken and self._race.active:
+            # Not in a task of the race, which ends when another attempt delivers.
+            trio.lowlevel.spawn_system_task(self._report_and_close, attempt)
+            return
         try:
             if attempt.is_broken:
                 await attempt.report_failure()
         finally:
             attempt.close()
 
+    async def _report_and_close(self, attempt: Attempt) -> None:
+        try:
+            await attempt.report_failure()
+        except Exception:
+            self._log.exception("check of a server after a failure ended with an error")
+        finally:
+            attempt.close()
+
     def _end(self, attempt: Attempt, may_have_run: bool) -> None:
         self._race.end(attempt, may_have_run)
         attempt.close()
