Relay: keep a silent chain until another one has delivered

Cause: the read of a stream was cancelled at the stall timeout, which closes the stream, before any other chain had delivered; the class of fault is giving up a resource before its replacement works. Change: Run reads its primary without a timeout. A task of the request's nursery watches for silence and the deadline, and starts a backup in another task, as failover.Race and should_back_up decide. The first to deliver is read on by the iterating task, and the others are closed. Load and crash attribution are held per attempt. A stall is reported to the router and the suspect registry as before, now without ending the attempt; the servers are used again if the chain goes on. A caller that reads slowly no longer counts as a silent chain. An isolated attempt that stalls is still ended: it may have no backup, and holds one of two slots. A backup that is mute beyond its own stall timeout is replaced, as else a second silent server would hold up the response (test_silent_stage_is_detected_within_a_second).

--- a/basilwinch/relay/relay.py
+++ b/basilwinch/relay/relay.py
@@ -78,8 +78,8 @@
     async def run(self, request: ModelRequest):
         """Run a request; use as ``async with relay.run(request) as frames``.
 
-        Leaving the block ends the current attempt and releases the engine's slot, also when the
-        caller is cancelled. Iterating ``frames`` opens streams, so iterate it in the task that
+        Leaving the block ends the attempts in progress and releases the engines' slots, also when
+        the caller is cancelled. Iterating ``frames`` opens streams, so iterate it in the task that
         entered the block.
 
         :param request: :class:`ModelRequest`
@@ -92,16 +92,25 @@
             raise CallerError(DRAINING.because("the node is draining and accepts no new requests"))
         self.in_progress += 1
         self.budget.deposit(trio.current_time())
-        run = Run(self, request, trio.current_time())
+        failure = None
         try:
-            yield run
+            async with trio.open_nursery() as nursery:
+                run = Run(self, request, nursery, trio.current_time())
+                # Raised after the nursery, which would wrap it in an exception group.
+                try:
+                    try:
+                        yield run
+                    finally:
+                        await run.close()
+                except BaseException as error:
+                    failure = error
+            if failure is not None:
+                raise failure
         finally:
-            try:
-                await run.close()
-            finally:
-                self.in_progress -= 1
-                if self.draining and not self.in_progress:
-                    self._drained.set()
+            failure = None
+            self.in_progress -= 1
+            if self.draining and not self.in_progress:
+                self._drained.set()
 
     async def drain(self) -> None:
         """Refuse new requests and wait until the requests in progress have finished.
--- a/basilwinch/routing/router.py
+++ b/basilwinch/routing/router.py
@@ -212,6 +212,13 @@
             choice.gap_sum_s = 0.0
             choice.gap_count = 0
 
+    def report_silence(self, choice: RouteChoice, now: float) -> None:
+        """Mark the servers dead that may be why nothing arrives from a chain; it stays counted.
+
+        These are the ones that no recent load report shows to run.
+        """
+        self._stage_table.mark_silent_servers_dead(choice.stages, now)
+
     def finish(self, choice: RouteChoice, failure: Failure | None, now: float) -> None:
         """End a request on its chain.
 
--- a/basilwinch/suspicion/registry.py
+++ b/basilwinch/suspicion/registry.py
@@ -334,6 +334,10 @@
         self.release_claim(digest, run_id)
         return False
 
+    def is_isolated(self, run_id: str) -> bool:
+        """Return whether a run is in isolation, which ends with its first frames."""
+        return run_id in self._isolations
+
     def begin_attempt(
         self, digest: str, run_id: str, servers, isolated: bool, now: float, parts=(), trial=False
     ) -> None:
