Routing: probe dead servers also while no chain is live

What callers saw: requests ended with no_chain after 10 s although all servers ran: once each server of a layer range had refused a call or been silent, none was ever probed again. Cause: the search for a probe used only the stages of complete live chains, of which there are none then. Change: without a live chain it also uses the dead stages whose probe is due. Result: test_servers_are_probed_also_if_no_chain_is_live failed in 2 of 2 cases before ("no chain of servers that are live and not excluded covers all layers of model 'm'"); basilwinch/routing passed.

--- a/basilwinch/routing/path.py
+++ b/basilwinch/routing/path.py
@@ -202,19 +202,31 @@
 
     def _find_probe(self, graph: StageGraph, request: RouteRequest, now: float):
         """Return a path through a server whose probe is due, or None."""
-        for server in self._stage_table.probe_candidates.values():
-            if now < server.probe_at or server.name in request.excluded:
-                continue
-            stage = self._stage_table.find_stage(request.model, server.name)
+        table, excluded = self._stage_table, request.excluded
+        due = [
+            server
+            for server in table.probe_candidates.values()
+            if now >= server.probe_at and server.name not in excluded
+        ]
+        stages = graph.stages
+        if due and not graph.complete:
+            # Without a live chain the graph is empty, and a probe may need others that are due.
+            dead = (table.find_stage(request.model, server.name) for server in due if server.dead)
+            stages = [*table.live_stages(request.model), *filter(None, dead)]
+        for server in due:
+            stage = table.find_stage(request.model, server.name)
             if stage is None:
                 continue
-            preceding = _search(graph.stages, 0, stage.stage.first, request.excluded, self._rng)
-            following = _search(graph.stages, stage.end, graph.layers, request.excluded, self._rng)
+            preceding = _search(stages, 0, stage.stage.first, excluded, self._rng)
+            following = _search(stages, stage.end, graph.layers, excluded, self._rng)
             if preceding is None or following is None:
                 continue
-            server.probe_at = now + self._config.probe_interval_s
-            server.probe_sent = True
-            return [*preceding, stage, *following]
+            path = [*preceding, stage, *following]
+            for probed in path:
+                if probed.server in due:
+                    probed.server.probe_at = now + self._config.probe_interval_s
+                    probed.server.probe_sent = True
+            return path
         return None
 
     def _find_isolated(self, graph: StageGraph, excluded):
--- a/basilwinch/routing/tests/test_router.py
+++ b/basilwinch/routing/tests/test_router.py
@@ -152,6 +152,22 @@
     assert "a1" in servers_chosen(router, 5.3)
 
 
+@pytest.mark.parametrize("dead", ["a", "ab"])
+def test_servers_are_probed_also_if_no_chain_is_live(router, dead):
+    """Guards against a model without a chain for good once all servers of a range were dead."""
+    names = [stage.server for stage in STAGES if stage.server[0] in dead]
+    for name in names:
+        router.mark_dead(name, 0.0)
+    assert not router.choose(request(), 4.9)
+    probe = router.choose(request(), 5.1)
+    assert probe.reason == "probe"
+    chosen = set(probe.chain.servers)
+    again = router.choose(request(), 5.2)
+    assert not again or not chosen.intersection(names) & set(again.chain.servers)
+    router.observe(probe, frame_of(probe), 0.1, 5.3)
+    assert chosen <= set(router.in_use("m"))
+
+
 def test_slow_stage_is_avoided_probed_and_used_again(router):
     """Guards against a slow stage that keeps its traffic or never regains it."""
     now = serve(router, 0.0)
