--- a/basilwinch/relay/run.py
+++ b/basilwinch/relay/run.py
@@ -494,7 +494,9 @@
 
     def _forget_silence(self, attempt: Attempt) -> None:
         """Use the servers of a chain again that has gone on after a silence."""
-        attempt.stalled = False
+        if attempt.stalled:
+            attempt.stalled = False
+            self._relay.router.end_silence(attempt.choice)
         self._backup_at, self._backup_tries = -math.inf, 0
         servers = frozenset(attempt.choice.chain.servers)
         self._excluded -= servers
@@ -519,7 +521,11 @@
                     now = trio.current_time()
                     if self._reading_since == math.inf:
                         continue
-                    self._held_up_s += max(0.0, now - max(wake_at, self._reading_since))
+                    late_s = max(0.0, now - max(wake_at, self._reading_since))
+                    self._held_up_s += late_s
+                    if late_s > _CHECK_INTERVAL_S:
+                        # What arrived while the node did not run is read before the next check.
+                        continue
                     if now >= self._deadline:
                         self._is_expired = True
                         self._read_scope.cancel()
--- a/basilwinch/routing/router.py
+++ b/basilwinch/routing/router.py
@@ -219,6 +219,10 @@
         """
         self._stage_table.mark_silent_servers_dead(choice.stages, now)
 
+    def end_silence(self, choice: RouteChoice) -> None:
+        """Use the servers of a chain again that goes on after :meth:`report_silence`."""
+        self._stage_table.restore_dead_servers(choice.stages)
+
     def finish(self, choice: RouteChoice, failure: Failure | None, now: float) -> None:
         """End a request on its chain.
 
--- a/basilwinch/routing/stage_table.py
+++ b/basilwinch/routing/stage_table.py
@@ -212,6 +212,18 @@
             if now - stage.server.last_seen_at > _SILENCE_TIMEOUT_S:
                 self.mark_dead(stage.server.name, now, self._config.refused_backoff_s)
 
+    def restore_dead_servers(self, stages) -> None:
+        """Make servers available again that were marked dead and have sent a frame since."""
+        for stage in stages:
+            server = stage.server
+            if not server.dead or server.leaving:
+                continue
+            server.dead = False
+            server.death_count = 0
+            if not server.avoided:
+                self.probe_candidates.pop(server.name, None)
+            self._record_change("restored", server.name, "a frame of its chain arrived")
+
     def add_isolated_requests(self, stages, count: int) -> None:
         """Change the number of isolated requests on the servers of a chain.
 
