Relay: start no backup while nothing arrives from any chain

Cause: after a pause of the node's links, all its streams would have begun a second run at once. Change: the relay records the activity of its chains (failover.ChainActivity). If all are silent, no backup is begun, unless one server is part of all of them: chains of a pipeline share servers, and then that server is the likelier cause. Without the rule test_silence_of_all_chains_starts_no_backups failed; without the exception test_silent_server_of_all_chains_is_replaced failed.

--- a/basilwinch/relay/attempt.py
+++ b/basilwinch/relay/attempt.py
@@ -26,6 +26,7 @@
         "number",
         "run_id",
         "choice",
+        "head",
         "stream",
         "checker",
         "gap_estimate",
@@ -50,6 +51,7 @@
         self.number = number
         self.run_id = run_id
         self.choice = choice
+        self.head = choice.chain.servers[0]
         self.checker = checker
         self.gap_estimate = gap_estimate
         self.stream = None
--- a/basilwinch/relay/relay.py
+++ b/basilwinch/relay/relay.py
@@ -7,6 +7,7 @@
 
 from basilwinch.catalog import Catalog
 from basilwinch.exception import DRAINING, BasilwinchError, CallerError
+from basilwinch.failover import ChainActivity
 from basilwinch.observability import DecisionLog
 from basilwinch.relay.budget import RetryBudget
 from basilwinch.relay.request import ModelRequest, RelayConfig
@@ -39,6 +40,8 @@
         "log",
         "budget",
         "catalog",
+        "activity",
+        "attempts",
         "in_progress",
         "draining",
         "_drained",
@@ -53,6 +56,9 @@
         self.log = log
         self.budget = RetryBudget(config.retry_ratio, config.retry_window_s, config.retry_reserve)
         self.catalog = Catalog()
+        self.activity = ChainActivity()
+        #: Attempts in progress of all requests.
+        self.attempts = set()
         self.in_progress = 0
         self.draining = False
         self._drained = trio.Event()
@@ -112,6 +118,16 @@
             if self.draining and not self.in_progress:
                 self._drained.set()
 
+    def have_common_server(self) -> bool:
+        """Return whether one server is part of all chains in progress on this node."""
+        common = None
+        for attempt in self.attempts:
+            servers = attempt.choice.chain.servers
+            common = set(servers) if common is None else common.intersection(servers)
+            if not common:
+                return False
+        return common is not None
+
     async def drain(self) -> None:
         """Refuse new requests and wait until the requests in progress have finished.
 
--- a/basilwinch/relay/run.py
+++ b/basilwinch/relay/run.py
@@ -42,8 +42,11 @@
 _CLOSE_TIMEOUT_S = 1.0
 # Timers may end this much early; a check just before the stall timeout would find no stall.
 _TIMER_SLACK_S = 0.001
-# Between two checks of a silence that is common to all chains.
+# Between two checks for a backup, and between two of a silence that is common to all chains.
 _CHECK_INTERVAL_S = 0.05
+_COMMON_CHECK_INTERVAL_S = 0.2
+# The last frames before a common silence do not come at the same moment.
+_COMMON_SILENCE_FRACTION = 0.5
 
 
 class Run:
@@ -187,6 +190,8 @@
         attempt = Attempt(number, run_id, choice, checker, gap_estimate)
         self._race.begin(attempt)
         relay.router.begin(choice, now)
+        relay.attempts.add(attempt)
+        relay.activity.begin(attempt.head, now)
         relay.suspects.begin_attempt(self._digest, run_id, chain.servers, isolated, now)
         relay.log.record(
             "attempt",
@@ -205,6 +210,8 @@
         relay, now = self._relay, trio.current_time()
         attempt.ended = True
         self._race.end(attempt, self._is_charged(failure))
+        relay.attempts.discard(attempt)
+        relay.activity.end(attempt.head)
         relay.suspects.end_attempt(self._digest, attempt.run_id)
         # A missed deadline is not attributed to a server.
         reported = None if failure is not None and failure.kind is DEADLINE_EXCEEDED else failure
@@ -482,6 +489,7 @@
         attempt.frame_count += 1
         attempt.last_frame_at = now
         self._relay.router.observe(attempt.choice, frame, gap_s, now)
+        self._relay.activity.record(attempt.head, now)
         self._tokens.append(frame.token)
         self._relay.suspects.record_frame(self._digest, attempt.run_id, now)
         self._held_up_s = 0.0
@@ -543,6 +551,8 @@
         for attempt in self._race.active:
             if not attempt.stalled:
                 check_at = self._find_stall(attempt, now)
+                if check_at < now:
+                    check_at = now + _COMMON_CHECK_INTERVAL_S
                 break
         check_at = max(check_at + _TIMER_SLACK_S, now + _CHECK_INTERVAL_S)
         return min(check_at, self._deadline)
@@ -578,8 +588,7 @@
             if attempt.stalled or attempt.failure is not None:
                 continue
             silent_s = now - max(attempt.last_frame_at, self._reading_since)
-            # How many of the node's other chains are silent is not known here yet.
-            silence = Silence(silent_s, self._held_up_s)
+            silence = self._describe_silence(silent_s, now)
             if should_back_up(silence, self._stall_timeout_s(attempt, now)):
                 self._report_silence(attempt, silent_s, now)
         if not active or not all(attempt.stalled for attempt in active):
@@ -587,6 +596,16 @@
         if self._starting_scope is None and now >= self._backup_at:
             self._try_backup(active, now)
 
+    def _describe_silence(self, silent_s: float, now: float) -> Silence:
+        relay = self._relay
+        silent, chains = relay.activity.count_silent(now, silent_s * _COMMON_SILENCE_FRACTION)
+        if silent == chains and relay.have_common_server():
+            # A server that all chains share is a likelier cause than the node.
+            return Silence(silent_s, self._held_up_s)
+        # The second chain of this request says nothing about the others.
+        beside = len(self._race.active) - 1
+        return Silence(silent_s, self._held_up_s, False, chains - beside, silent - beside)
+
     def _report_silence(self, attempt: Attempt, silent_s: float, now: float) -> None:
         relay, chain = self._relay, attempt.choice.chain
         reason = f"no valid frame for {silent_s:.3f} s"
--- a/basilwinch/relay/tests/test_backup.py
+++ b/basilwinch/relay/tests/test_backup.py
@@ -505,3 +505,49 @@
         assert set(client.calls[0].chain.servers) <= set(relay.router.in_use("m"))
 
     run_trio(main, fleet)
+
+
+def test_silence_of_all_chains_starts_no_backups(fleet, run_trio, right_tokens):
+    """Guards against second runs of all requests when the node or its links are the cause."""
+    client = FaultyClient(fleet.client, pause_at(5), change_nothing)
+    relay, requests, done = fleet.add_node(client), [make_request(n) for n in range(12)], []
+
+    async def ask(request):
+        done.append(await collect(relay, request) == right_tokens(request))
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            for request in requests:
+                nursery.start_soon(ask, request)
+
+    run_trio(main, fleet)
+    assert done == [True] * 12
+    assert len(client.calls) == 12
+    assert len({call.chain.servers[0] for call in client.calls}) > 1
+
+
+def test_silent_server_of_all_chains_is_replaced(fleet, run_trio, right_tokens):
+    """Guards against streams that wait for good as the silent server is part of all chains."""
+    relay, done, heads = fleet.add_node(), [], set()
+    others = ("b1", "b2", "b3")
+
+    async def ask(number):
+        request = make_request(number, tokens=400)
+        tokens = await collect(relay, request, lambda frame: heads.add(frame.spans[0].server))
+        done.append(tokens == right_tokens(request))
+
+    async def main():
+        for name in others:
+            relay.router.mark_leaving(name, trio.current_time())
+        async with trio.open_nursery() as nursery:
+            for number in range(6):
+                nursery.start_soon(ask, number)
+            await trio.sleep(0.1)
+            assert len(heads) > 1 and not done
+            for name in others:
+                relay.router.mark_live(name, trio.current_time())
+            fleet.engines.kill("b0", silent=True)
+        assert trio.current_time() < 6.0
+
+    run_trio(main, fleet)
+    assert done == [True] * 6
