Relay: test random faults beside each other

Ten seeds of 30 requests with random pauses, losses, refusals, mute chains, deadlines and callers who leave; responses, runs and all counts must be right.

--- a/basilwinch/relay/tests/test_backup.py
+++ b/basilwinch/relay/tests/test_backup.py
@@ -1,5 +1,9 @@
 """Tests of a backup attempt beside a silent chain."""
 
+import math
+import random
+from collections import Counter
+
 import pytest
 import trio
 import trio.testing
@@ -551,3 +555,67 @@
 
     run_trio(main, fleet)
     assert done == [True] * 6
+
+
+class RandomClient:
+    """Gives each attempt a random fault, and pauses of up to two stall timeouts.
+
+    :param client: client that runs the attempts
+    :param rng: source of randomness
+    """
+
+    def __init__(self, client, rng):
+        self._client = client
+        self._rng = rng
+        self.runs = Counter()
+        self.calls = []
+        self.open_calls = []
+
+    def open(self, call):
+        faults = (change_nothing, lose_stream, end_early, skip_token, send_nothing, SERVER_REFUSED)
+        weights = (12, 1, 1, 1, 2, 3)
+        position, pause_s = self._rng.randrange(40), self._rng.uniform(0.0, 2.0)
+        pauses = (pause_at(position, pause_s), lose_after(position, pause_s), start_after(pause_s))
+        change = self._rng.choices(faults + pauses, weights + (8, 4, 2))[0]
+        if change is not SERVER_REFUSED:
+            self.runs[call.request] += 1
+        single = FaultyClient(self._client, change, change)
+        single.calls, single.open_calls = self.calls, self.open_calls
+        return single.open(call)
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_random_faults_leave_responses_and_counts_right(run_trio, right_tokens, seed):
+    """Guards against wrong tokens, attempts beyond the limit, and attempts that are never ended."""
+    rng, fleet, outcomes = random.Random(seed), Fleet(), []
+    client = RandomClient(fleet.client, rng)
+    relay = fleet.add_node(client, max_attempts=4, chain_wait_s=3.0)
+
+    async def ask(number):
+        request = make_request(number, f"prompt {number}", deadline_s=rng.choice((30.0, 4.0)))
+        received, expected = [], right_tokens(request)
+        with trio.move_on_after(rng.choice((math.inf, 1.5))) as scope:
+            try:
+                await collect(relay, request, lambda frame: received.append(frame.token))
+                outcomes.append("whole")
+            except BasilwinchError as error:
+                outcomes.append(error.failure.code)
+        if scope.cancelled_caught:
+            outcomes.append("left")
+        assert received == expected[: len(received)]
+        assert outcomes[-1] != "whole" or received == expected
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            for number in range(30):
+                nursery.start_soon(ask, number)
+                await trio.sleep(rng.uniform(0.0, 0.3))
+
+    run_trio(main, fleet)
+    assert len(outcomes) == 30 and outcomes.count("whole") >= 10
+    assert max(client.runs.values()) <= relay.config.max_attempts
+    assert not client.open_calls and not relay.attempts and relay.in_progress == 0
+    assert is_unloaded(relay, fleet)
+    assert not relay.suspects._running and not relay.suspects._isolations
+    assert relay.activity.count_silent(0.0, 0.0) == (0, 0)
+    assert not any(state.resident for state in fleet.engines.states.values())
