--- a/basilwinch/relay/relay.py
+++ b/basilwinch/relay/relay.py
@@ -7,6 +7,7 @@
 
 from basilwinch.catalog import Catalog
 from basilwinch.exception import DRAINING, BasilwinchError, CallerError
+from basilwinch.failover import ChainActivity
 from basilwinch.observability import DecisionLog
 from basilwinch.relay.budget import RetryBudget
 from basilwinch.relay.request import ModelRequest, RelayConfig
@@ -39,6 +40,8 @@
         "log",
         "budget",
         "catalog",
+        "activity",
+        "attempts",
         "in_progress",
         "draining",
         "_drained",
@@ -53,6 +56,9 @@
         self.log = log
         self.budget = RetryBudget(config.retry_ratio, config.retry_window_s, config.retry_reserve)
         self.catalog = Catalog()
+        self.activity = ChainActivity()
+        #: Attempts in progress of all requests.
+        self.attempts = set()
         self.in_progress = 0
         self.draining = False
         self._drained = trio.Event()
@@ -78,8 +84,8 @@
     async def run(self, request: ModelRequest):
         """Run a request; use as ``async with relay.run(request) as frames``.
 
-        Leaving the block ends the current attempt and releases the engine's slot, also when the
-        caller is cancelled. Iterating ``frames`` opens streams, so iterate it in the task that
+        Leaving the block ends the attempts in progress and releases the engines' slots, also when
+        the caller is cancelled. Iterating ``frames`` opens streams, so iterate it in the task that
         entered the block.
 
         :param request: :class:`ModelRequest`
@@ -92,16 +98,35 @@
             raise CallerError(DRAINING.because("the node is draining and accepts no new requests"))
         self.in_progress += 1
         self.budget.deposit(trio.current_time())
-        run = Run(self, request, trio.current_time())
+        failure = None
         try:
-            yield run
+            async with trio.open_nursery() as nursery:
+                run = Run(self, request, nursery, trio.current_time())
+                # Raised after the nursery, which would wrap it in an exception group.
+                try:
+                    try:
+                        yield run
+                    finally:
+                        await run.close()
+                except BaseException as error:
+                    failure = error
+            if failure is not None:
+                raise failure
         finally:
-            try:
-                await run.close()
-            finally:
-                self.in_progress -= 1
-                if self.draining and not self.in_progress:
-                    self._drained.set()
+            failure = None
+            self.in_progress -= 1
+            if self.draining and not self.in_progress:
+                self._drained.set()
+
+    def have_common_server(self) -> bool:
+        """Return whether one server is part of all chains in progress on this node."""
+        common = None
+        for attempt in self.attempts:
+            servers = attempt.choice.chain.servers
+            common = set(servers) if common is None else common.intersection(servers)
+            if not common:
+                return False
+        return common is not None
 
     async def drain(self) -> None:
         """Refuse new requests and wait until the requests in progress have finished.
