Wait for a server's bytes before the first read

Trio's recv reads first and waits if that fails. The events of a stream arrive one by one, so that the first read failed for nearly each of them, at the cost of a system call and an exception. ServerConnection now waits until its socket is readable and then reads; tunnels keep their own recv. No checkpoint follows the read, so a cancellation loses no bytes.

--- a/basilwinch/wire/client.py
+++ b/basilwinch/wire/client.py
@@ -1,6 +1,8 @@
 """HTTP/1.1 connections to servers."""
 
 import contextlib
+import errno
+import os
 import socket
 from functools import singledispatch
 
@@ -21,6 +23,7 @@
     "drop_unsent_on_close",
     "is_open_and_silent",
     "open_socket",
+    "receive_when_readable",
     "set_socket_options",
 ]
 
@@ -95,6 +98,31 @@
     return False
 
 
+@singledispatch
+async def receive_when_readable(sock, max_bytes: int) -> bytes:
+    """Return the next bytes of a connection, empty at its end.
+
+    No checkpoint follows the read, so bytes that have been read are never lost by a cancellation.
+
+    :param sock: connected trio socket, or another object with its method ``recv``
+    :param max_bytes: maximum number of bytes
+    :raises OSError: if the connection is lost or has been closed
+    """
+    return await sock.recv(max_bytes)
+
+
+@receive_when_readable.register
+async def _(sock: trio.socket.SocketType, max_bytes: int) -> bytes:
+    # Trio's recv reads before it waits. The events of a stream arrive one by one, so that this
+    # first read fails for nearly each of them, at the cost of a system call and an exception.
+    while True:
+        if sock.fileno() < 0:
+            raise OSError(errno.EBADF, os.strerror(errno.EBADF))
+        await trio.lowlevel.wait_readable(sock)
+        with contextlib.suppress(BlockingIOError, InterruptedError):
+            return sock._sock.recv(max_bytes)
+
+
 @singledispatch
 def drop_unsent_on_close(sock) -> None:
     """Make the next close of a socket drop all bytes that the peer has not received.
@@ -274,7 +302,7 @@
             failed before, the end that follows it is not the server's
         """
         try:
-            data = await self._sock.recv(_READ_CHUNK_BYTES)
+            data = await receive_when_readable(self._sock, _READ_CHUNK_BYTES)
             if not data and self._is_send_failed:
                 raise ConnectionResetError("the connection ended after a send on it had failed")
         except OSError:
--- a/basilwinch/wire/tests/test_client.py
+++ b/basilwinch/wire/tests/test_client.py
@@ -1,5 +1,7 @@
 """Tests of connections to servers."""
 
+import socket
+
 import h11
 import pytest
 import trio
@@ -281,3 +283,114 @@
             nursery.cancel_scope.cancel()
 
     trio.run(main)
+
+
+@pytest.fixture
+def connect_pair():
+    """Return a function that returns a connection and the server's end of it, on loopback."""
+
+    async def connect_pair():
+        listener = socket.create_server(("127.0.0.1", 0))
+        with listener:
+            connection = await connect("127.0.0.1", listener.getsockname()[1], 5.0)
+            server, _ = listener.accept()
+        await connection.send(b"GET", b"/", [], b"")
+        return connection, server
+
+    return connect_pair
+
+
+def test_bytes_that_arrive_with_a_cancellation_are_received_later(connect_pair):
+    """Guards against losing bytes of a socket that becomes readable as the wait is cancelled."""
+
+    async def test():
+        connection, server = await connect_pair()
+        scope = trio.CancelScope()
+
+        async def receive():
+            with scope:
+                await connection.receive_head()
+
+        with trio.fail_after(20), server:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(receive)
+                await trio.testing.wait_all_tasks_blocked()
+                server.sendall(_RESPONSE)
+                scope.cancel()
+            assert scope.cancelled_caught
+            assert (await connection.receive_head()).status_code == 200
+            assert await connection.receive_body(10) == b"ok"
+        connection.close()
+
+    trio.run(test)
+
+
+def test_waits_cancelled_at_any_time_lose_no_bytes(connect_pair):
+    """Guards against a cancellation between the read of bytes and their use."""
+
+    async def test():
+        connection, server = await connect_pair()
+        body = bytes(range(256)) * 4
+        parts = []
+
+        async def send():
+            server.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body))
+            for start in range(0, len(body), 4):
+                server.sendall(body[start : start + 4])
+                await trio.sleep(0.0005)
+
+        with trio.fail_after(30), server:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(send)
+                head = None
+                while sum(map(len, parts)) < len(body):
+                    with trio.move_on_after(0.0007):
+                        head = head or await connection.receive_head()
+                        parts.append(await connection.receive_data())
+        assert b"".join(parts) == body
+        connection.close()
+
+    trio.run(test)
+
+
+def test_lost_and_closed_connections_raise_errors_of_servers(connect_pair):
+    """Guards against other exceptions than ServerError from the wait for a socket."""
+
+    async def test():
+        connection, server = await connect_pair()
+        server.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+        server.close()
+        with trio.fail_after(20):
+            with pytest.raises(ServerError):
+                await connection.receive_head()
+            connection, server = await connect_pair()
+            connection.close()
+            with server, pytest.raises(ServerError):
+                await connection.receive_head()
+
+    trio.run(test)
+
+
+def test_readable_socket_without_bytes_is_waited_for_again(connect_pair, monkeypatch):
+    """Guards against an error when the system reports a socket as readable that has no bytes."""
+
+    async def test():
+        connection, server = await connect_pair()
+        wait_readable = trio.lowlevel.wait_readable
+        waits = []
+
+        async def wait_once_in_vain(sock):
+            waits.append(sock)
+            if len(waits) == 1:
+                await trio.lowlevel.checkpoint()
+                return
+            server.sendall(_RESPONSE)
+            await wait_readable(sock)
+
+        monkeypatch.setattr(trio.lowlevel, "wait_readable", wait_once_in_vain)
+        with trio.fail_after(20), server:
+            assert (await connection.receive_head()).status_code == 200
+        assert len(waits) == 2
+        connection.close()
+
+    trio.run(test)
