Send to callers without a round of the scheduler

SocketStream.send_all lets all other tasks run after each send, at the cost of a round of trio's scheduler with an epoll_wait. CallerConnection now tries a send that does not wait and calls send_all only for what the system did not take. Errors remain those of SocketStream, a cancelled task still sends nothing, and after 16 sends that did not wait the other tasks run.

--- a/basilwinch/wire/server.py
+++ b/basilwinch/wire/server.py
@@ -1,6 +1,8 @@
 """HTTP/1.1 connections of callers."""
 
 import contextlib
+import errno
+from functools import singledispatch
 
 import h11
 import structlog
@@ -18,6 +20,32 @@
 # connection before the timeout itself, so a close after it cannot meet a request in transit.
 _IDLE_TIMEOUT_FACTOR = 1.2
 _CLOSE_TIMEOUT_S = 0.5  # maximum time to close the stream of a caller
+# Other tasks run at the latest after this number of sends that did not wait, as many events of a
+# server may be ready at once.
+_MAX_SENDS_WITHOUT_CHECKPOINT = 16
+
+
+@singledispatch
+def _send_at_once(stream, data: bytes) -> int:
+    """Send what the stream takes without waiting; return the number of bytes.
+
+    :raises trio.BrokenResourceError: if the connection is lost
+    :raises trio.ClosedResourceError: if the stream has been closed
+    """
+    return 0
+
+
+@_send_at_once.register
+def _(stream: trio.SocketStream, data: bytes) -> int:
+    try:
+        return stream.socket._sock.send(data)
+    except (BlockingIOError, InterruptedError):
+        return 0
+    except OSError as error:
+        # As SocketStream.send_all translates them.
+        if error.errno == errno.EBADF:
+            raise trio.ClosedResourceError("this socket was already closed") from None
+        raise trio.BrokenResourceError(f"socket connection broken: {error}") from error
 
 
 class Exchange:
@@ -76,6 +104,7 @@
         "_closing",
         "_log",
         "_close_after_next",
+        "_sends_without_checkpoint",
     )
 
     def __init__(self, stream, handle, limits):
@@ -88,6 +117,7 @@
         self._idle_scope: trio.CancelScope | None = None
         self._closing = False
         self._close_after_next = False
+        self._sends_without_checkpoint = 0
         self._log = structlog.get_logger("caller")
 
     def close_when_idle(self) -> None:
@@ -210,7 +240,7 @@
         size = 0
         if self._protocol.they_are_waiting_for_100_continue:
             event = h11.InformationalResponse(status_code=100, headers=[])
-            await self._stream.send_all(self._protocol.send(event))
+            await self._send_all(self._protocol.send(event))
         while True:
             event = None
             with trio.move_on_after(limits.header_s):
@@ -261,14 +291,34 @@
             data += protocol.send(h11.Data(data=body))
         if last:
             data += protocol.send(h11.EndOfMessage())
-        await self._stream.send_all(data)
+        await self._send_all(data)
 
     async def send_data(self, body: bytes) -> None:
         """Send a part of the response body."""
-        await self._stream.send_all(self._protocol.send(h11.Data(data=body)))
+        await self._send_all(self._protocol.send(h11.Data(data=body)))
 
     async def send_end(self) -> None:
         """Send the end of the response body."""
         data = self._protocol.send(h11.EndOfMessage())
         if data:
-            await self._stream.send_all(data)
+            await self._send_all(data)
+
+    async def _send_all(self, data: bytes) -> None:
+        """Send bytes; one task at a time.
+
+        ``SocketStream.send_all`` lets the other tasks run after each send, which costs a round of
+        the scheduler with a system call. A send that does not wait goes without.
+
+        :raises trio.BrokenResourceError: if the connection is lost
+        :raises trio.ClosedResourceError: if the stream has been closed
+        """
+        await trio.lowlevel.checkpoint_if_cancelled()
+        sent = _send_at_once(self._stream, data)
+        if sent < len(data):
+            self._sends_without_checkpoint = 0
+            await self._stream.send_all(memoryview(data)[sent:])
+            return
+        self._sends_without_checkpoint += 1
+        if self._sends_without_checkpoint >= _MAX_SENDS_WITHOUT_CHECKPOINT:
+            self._sends_without_checkpoint = 0
+            await trio.lowlevel.cancel_shielded_checkpoint()
--- a/basilwinch/wire/tests/test_server.py
+++ b/basilwinch/wire/tests/test_server.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from basilwinch.view import CallerLimits
-from basilwinch.wire import CallerConnection
+from basilwinch.wire import CallerConnection, drop_unsent_on_close
 
 LIMITS = CallerLimits(header_bytes=2048, body_bytes=4096, header_s=1.0, idle_s=2.0)
 
@@ -194,3 +194,135 @@
     assert received.endswith(b"part") and was_reset
     received, _ = receive_cut_response(b"1.1")
     assert b"part" in received and not received.endswith(b"0\r\n\r\n")
+
+
+def serve_on_loopback(handle, test):
+    """Run a test with the caller's end of a connection on loopback.
+
+    :param handle: async function that responds to the request of the caller
+    :param test: async function of the caller's trio socket stream and of the node's
+    """
+
+    async def main():
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        address = listeners[0].socket.getsockname()
+        caller = await trio.open_tcp_stream(*address)
+        stream = await listeners[0].accept()
+        with trio.fail_after(20):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(CallerConnection(stream, handle, lambda: LIMITS).run)
+                await caller.send_all(GET)
+                await test(caller, stream)
+                nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+def test_response_larger_than_the_buffers_is_sent_whole():
+    """Guards against bytes lost or repeated when the system takes a part of a send."""
+    body = bytes(range(256)) * 40000
+
+    async def handle(exchange):
+        await exchange.respond(200, [], body)
+
+    async def test(caller, stream):
+        await trio.sleep(0.1)
+        received = b""
+        while not received.endswith(body):
+            data = await caller.receive_some()
+            assert data, "the response ended early"
+            received += data
+
+    serve_on_loopback(handle, test)
+
+
+def test_reset_while_sending_raises_broken_resource_error():
+    """Guards against errors of the system that the handlers of requests do not expect."""
+    errors = []
+
+    async def handle(exchange):
+        with trio.CancelScope(shield=True):
+            await exchange.start(200, [])
+            try:
+                for _ in range(1000):
+                    await exchange.send(b"x" * 1000)
+                    await trio.sleep(0.001)
+            except Exception as error:
+                errors.append(error)
+                raise
+
+    async def test(caller, stream):
+        await caller.receive_some(10)
+        drop_unsent_on_close(caller)
+        await caller.aclose()
+        while not errors:
+            await trio.sleep(0.01)
+
+    serve_on_loopback(handle, test)
+    assert [type(error) for error in errors] == [trio.BrokenResourceError]
+
+
+def test_send_on_a_closed_stream_raises_closed_resource_error():
+    """Guards against a send on the descriptor of a closed connection."""
+    errors = []
+
+    async def handle(exchange):
+        with trio.CancelScope(shield=True):
+            await exchange.start(200, [])
+            await trio.sleep(0.1)
+            try:
+                await exchange.send(b"x")
+            except Exception as error:
+                errors.append(error)
+
+    async def test(caller, stream):
+        await caller.receive_some(10)
+        await stream.aclose()
+        while not errors:
+            await trio.sleep(0.01)
+
+    serve_on_loopback(handle, test)
+    assert [type(error) for error in errors] == [trio.ClosedResourceError]
+
+
+def test_sends_that_never_wait_let_other_tasks_run():
+    """Guards against a response that holds up the node while its bytes are ready at once."""
+    turns = 0
+    seen = []
+
+    async def handle(exchange):
+        await exchange.start(200, [])
+        for _ in range(100):
+            await exchange.send(b"x")
+        seen.append(turns)
+
+    async def test(caller, stream):
+        nonlocal turns
+        while not seen:
+            turns += 1
+            await trio.lowlevel.checkpoint()
+
+    serve_on_loopback(handle, test)
+    assert seen[0] >= 5
+
+
+def test_nothing_is_sent_after_a_cancellation():
+    """Guards against a response that continues after its handler has been given up."""
+    ended = []
+
+    async def handle(exchange):
+        await exchange.start(200, [])
+        with trio.CancelScope() as scope:
+            scope.cancel()
+            await exchange.send(b"late")
+        ended.append(scope.cancelled_caught)
+        await exchange.end()
+
+    async def test(caller, stream):
+        received = b""
+        while not received.endswith(b"0\r\n\r\n"):
+            received += await caller.receive_some()
+        assert b"late" not in received
+
+    serve_on_loopback(handle, test)
+    assert ended == [True]
