--- a/basilwinch/peers/exchange.py
+++ b/basilwinch/peers/exchange.py
@@ -308,8 +308,13 @@
 
     async def _receive(self, sock) -> None:
         while True:
+            # Trio's recvfrom reads before it waits. Reports arrive one by one, so that this first
+            # read fails for most of them, at the cost of a system call and an exception.
+            await trio.lowlevel.wait_readable(sock)
             try:
-                data, address = await sock.recvfrom(_MAX_DATAGRAM_BYTES)
+                data, address = sock._sock.recvfrom(_MAX_DATAGRAM_BYTES)
+            except BlockingIOError:
+                continue
             except OSError as error:
                 self._log.info("receiving load reports failed", error=repr(error))
                 continue
--- a/basilwinch/peers/tests/test_codec.py
+++ b/basilwinch/peers/tests/test_codec.py
@@ -9,6 +9,7 @@
 from basilwinch.chains.load import NodeReport, RequestLoad
 from basilwinch.exception import Failure
 from basilwinch.peers.codec import decode_report, encode_report
+from basilwinch.peers.packing import unpack
 
 REPORT = encode_report("node", 7, NodeReport({5: RequestLoad(1, 800)}, {9: 0.5}), b"suspects")
 # A truncated packed message, on which the reader of the library ends the process.
@@ -79,3 +80,44 @@
     message = b"".join(words)
     packed = b"".join(b"\xff" + message[at : at + 8] + b"\x00" for at in range(0, len(message), 8))
     assert not decode_report(packed)
+
+
+def _unpack_by_bytes(data: bytes) -> bytes | None:
+    """Return the words of a packed message, taken byte by byte as the format describes it."""
+    rest = list(data)
+    words = bytearray()
+    try:
+        while rest:
+            tag = rest.pop(0)
+            words += bytes(rest.pop(0) if tag >> bit & 1 else 0 for bit in range(8))
+            if tag == 0x00:
+                words += bytes(8 * rest.pop(0))
+            elif tag == 0xFF:
+                words += bytes(rest.pop(0) for _ in range(8 * rest.pop(0)))
+    except IndexError:
+        return None
+    return bytes(words)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_messages_of_all_tags_are_unpacked_as_the_format_says(seed):
+    """Guards against bytes at wrong places of a word, and against truncated messages."""
+    rng = random.Random(seed)
+    refused = 0
+    for _ in range(1000):
+        tags = [rng.choice((0x00, 0xFF, rng.randrange(256))) for _ in range(rng.randint(1, 12))]
+        data = b""
+        for tag in tags:
+            data += bytes((tag, *rng.choices(range(1, 256), k=tag.bit_count())))
+            if tag in (0x00, 0xFF):
+                words = rng.randrange(4)
+                data += bytes((words,)) + (rng.randbytes(8 * words) if tag else b"")
+        data = data[: rng.choice((len(data), rng.randrange(len(data) + 1)))]
+        expected = _unpack_by_bytes(data)
+        if expected is None:
+            refused += 1
+            with pytest.raises(ValueError):
+                unpack(data)
+        else:
+            assert unpack(data) == expected
+    assert 100 < refused < 900
