--- a/basilwinch/relay/relay.py
+++ b/basilwinch/relay/relay.py
@@ -42,6 +42,7 @@
         "catalog",
         "activity",
         "attempts",
+        "backups",
         "in_progress",
         "draining",
         "_drained",
@@ -59,6 +60,8 @@
         self.activity = ChainActivity()
         #: Attempts in progress of all requests.
         self.attempts = set()
+        #: Backups that have not delivered yet.
+        self.backups = 0
         self.in_progress = 0
         self.draining = False
         self._drained = trio.Event()
--- a/basilwinch/relay/run.py
+++ b/basilwinch/relay/run.py
@@ -191,7 +191,7 @@
         self._race.begin(attempt)
         relay.router.begin(choice, now)
         relay.attempts.add(attempt)
-        relay.activity.begin(attempt.head, now)
+        relay.activity.begin(attempt.head)
         relay.suspects.begin_attempt(self._digest, run_id, chain.servers, isolated, now)
         relay.log.record(
             "attempt",
@@ -604,7 +604,9 @@
             return Silence(silent_s, self._held_up_s)
         # The second chain of this request says nothing about the others.
         beside = len(self._race.active) - 1
-        return Silence(silent_s, self._held_up_s, False, chains - beside, silent - beside)
+        return Silence(
+            silent_s, self._held_up_s, False, chains - beside, silent - beside, relay.backups
+        )
 
     def _report_silence(self, attempt: Attempt, silent_s: float, now: float) -> None:
         relay, chain = self._relay, attempt.choice.chain
@@ -648,6 +650,7 @@
             self._delay_backup(now)
         else:
             self._is_racing = True
+            self._relay.backups += 1
             self._starting_scope = trio.CancelScope(shield=True)
             self._nursery.start_soon(self._run_backup, self._starting_scope)
 
@@ -672,6 +675,8 @@
                     outcome = await self._read(attempt)
         except Exception as error:
             outcome = error
+        finally:
+            self._relay.backups -= 1
         if self._starting_scope is scope:
             self._starting_scope = None
         if isinstance(outcome, Exception):
