Relay: begin no backup once another attempt has delivered or failed

Cause: a backup waits for its isolation before it begins, and in the same step of the scheduler another attempt may have left its first frame, or the last failure, for the iterating task. Result: basilwinch/relay, 61 passed. Found by reading; no run showed it.

--- a/basilwinch/relay/run.py
+++ b/basilwinch/relay/run.py
@@ -692,10 +692,12 @@
             relay.suspects, self._digest, run_id, True, self._remaining_s
         )
         now = trio.current_time()
+        # The isolation may have taken long enough for another attempt to deliver or fail.
+        is_late = scope.cancel_called or self._arrival is not None
         choice = isolated if isinstance(isolated, Failure) else self._choose_backup(isolated, now)
-        if scope.cancel_called or not choice or not relay.budget.take(now):
+        if is_late or not choice or not relay.budget.take(now):
             relay.suspects.release_claim(self._digest, run_id)
-            if not scope.cancel_called:
+            if not is_late:
                 self._delay_backup(now)
             return None
         active = self._race.active
