--- a/basilwinch/relay/tests/test_backup.py
+++ b/basilwinch/relay/tests/test_backup.py
@@ -18,7 +18,9 @@
     FailureKind,
     ServerError,
 )
+from basilwinch.relay import run
 from basilwinch.relay.tests.conftest import Fleet, collect, make_request
+from basilwinch.standin.loop import seed_trio_scheduler
 from basilwinch.suspicion import SuspectRegistry, digest_request
 
 # Longer than any stall timeout, also than the tripled one of an empty retry budget.
@@ -619,3 +621,30 @@
     assert not relay.suspects._running and not relay.suspects._isolations
     assert relay.activity.count_silent(0.0, 0.0) == (0, 0)
     assert not any(state.resident for state in fleet.engines.states.values())
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_backup_that_is_late_does_not_begin(fleet, run_trio, right_tokens, monkeypatch, seed):
+    """Guards against a backup that replaces one which has delivered at the same moment."""
+    seed_trio_scheduler(seed)
+    client = FaultyClient(fleet.client, pause_at(5), start_after(1.5))
+    relay, request, posted = fleet.add_node(client), make_request(1), trio.Event()
+    post = run.Run._post
+
+    def post_and_wake(self, *details):
+        post(self, *details)
+        posted.set()
+
+    async def wait_for_post(*details):
+        if len(client.calls) == 2:
+            await posted.wait()
+        return False
+
+    monkeypatch.setattr(run.Run, "_post", post_and_wake)
+    monkeypatch.setattr(run, "await_isolation", wait_for_post)
+
+    async def main():
+        assert await collect(relay, request) == right_tokens(request)
+
+    run_trio(main, fleet)
+    assert len(client.calls) == 2
