--- a/basilwinch/forward/stream.py
+++ b/basilwinch/forward/stream.py
@@ -214,7 +214,7 @@
         wait_s = wait_until - trio.current_time()
         while True:
             failure = None
-            if started or not self._leaves_path(tokens, cross_zones):
+            if started or not self._must_wait(tokens, cross_zones):
                 path = components.find_path(context, tokens, self._avoid, cross_zones)
                 if path is None and self._avoid and self._race.attempts:
                     # No path without the avoided servers has free capacity: they are allowed again.
@@ -240,7 +240,7 @@
             with trio.move_on_at(min(wait_until, now + _CAPACITY_POLL_S)):
                 await components.capacity_released.wait()
 
-    def _leaves_path(self, tokens: int, cross_zones: bool) -> bool:
+    def _must_wait(self, tokens: int, cross_zones: bool) -> bool:
         """Return whether this new request waits, as a response that has begun can use its path.
 
         A response that waits for more memory than any chain has free holds back none.
