Record the failure of a send before a receiver runs

Trio's send has a checkpoint between the error of the system and its raise; in this checkpoint the receiver saw the end that follows a reset, and took it for one in order.

--- a/basilwinch/wire/client.py
+++ b/basilwinch/wire/client.py
@@ -116,13 +116,38 @@
     # Trio's recv reads before it waits. The events of a stream arrive one by one, so that this
     # first read fails for nearly each of them, at the cost of a system call and an exception.
     while True:
-        if sock.fileno() < 0:
-            raise OSError(errno.EBADF, os.strerror(errno.EBADF))
+        _require_open(sock)
         await trio.lowlevel.wait_readable(sock)
         with contextlib.suppress(BlockingIOError, InterruptedError):
             return sock._sock.recv(max_bytes)
 
 
+@singledispatch
+async def _send_when_writable(sock, data) -> int:
+    """Send bytes on a connection; return how many were taken.
+
+    :raises OSError: if the connection is lost or has been closed
+    """
+    return await sock.send(data)
+
+
+@_send_when_writable.register
+async def _(sock: trio.socket.SocketType, data) -> int:
+    # Trio's send has a checkpoint between the error of the system and its raise. A receiver that
+    # runs meanwhile takes the end that follows for one in order.
+    while True:
+        _require_open(sock)
+        await trio.lowlevel.wait_writable(sock)
+        with contextlib.suppress(BlockingIOError, InterruptedError):
+            return sock._sock.send(data)
+
+
+def _require_open(sock) -> None:
+    # The descriptor of a closed socket is -1, which the wait does not accept.
+    if sock.fileno() < 0:
+        raise OSError(errno.EBADF, os.strerror(errno.EBADF))
+
+
 @singledispatch
 def drop_unsent_on_close(sock) -> None:
     """Make the next close of a socket drop all bytes that the peer has not received.
@@ -337,7 +362,8 @@
             # A server that has already responded may close the connection without reading the rest.
             try:
                 while self._unsent:
-                    sent = await self._sock.send(self._unsent[:_READ_CHUNK_BYTES])
+                    part = self._unsent[:_READ_CHUNK_BYTES]
+                    sent = await _send_when_writable(self._sock, part)
                     self._unsent = self._unsent[sent:]
                 self._unsent = None
             except OSError:
