--- a/bench/silences.py
+++ b/bench/silences.py
@@ -48,7 +48,7 @@
 _KEPT_S = 3.0
 _SERVER_SERVICES = ("llm",) * 6 + ("llm-b",) * 4  # two servers make a chain
 
-_WARM_UP_S = 3.0
+_WARM_UP_S = 2.0  # after the start of all nodes; until chains are placed
 _MAX_START_S = 30.0  # of a node's process on a busy machine
 _SETTLING_S = 2.0  # after the last start
 _RECOVERED_S = 2.0
@@ -213,6 +213,7 @@
 
     async def run(self, nursery) -> None:
         """Run callers and faults, and check what callers and servers saw."""
+        await self._wait_until_started()
         await trio.sleep(_WARM_UP_S)
         self.started_at = trio.current_time()
         lag_scope = trio.CancelScope()
@@ -227,9 +228,7 @@
                     fault = self.rng.choice(self._faults)
                     self.soak.faults.append(fault.__name__.strip("_"))
                     faults.start_soon(fault, self, self.rng.choice(self.soak.nodes))
-            with trio.move_on_after(_MAX_START_S):
-                for node in self.soak.nodes:
-                    await _wait_until_started(node)
+            await self._wait_until_started()
             await trio.sleep(_SETTLING_S)
             settled_at = await self._wait_without_lag(_RECOVERED_S)
             self.soak.stopping = True
@@ -270,6 +269,13 @@
                 if now - start > _LAG_INTERVAL_S + _MIN_LAG_S:
                     self.disturbances.append(("lag", None, start + _LAG_INTERVAL_S, now))
 
+    async def _wait_until_started(self) -> None:
+        """Wait until all nodes accept connections."""
+        with trio.move_on_after(_MAX_START_S):
+            for node in self.soak.nodes:
+                while not await _accepts_connections(node):
+                    await trio.sleep(0.1)
+
     async def _wait_without_lag(self, duration_s: float) -> float | None:
         """Wait until the soak has run for a time without lag, or several times as long.
 
@@ -536,13 +542,12 @@
             self.disturbances[number] = (kind, node, start, trio.current_time())
 
 
-async def _wait_until_started(node) -> None:
-    while True:
-        try:
-            (await connect(node.host, 8101, 1.0)).close()
-            return
-        except ServerError:
-            await trio.sleep(0.1)
+async def _accepts_connections(node) -> bool:
+    try:
+        (await connect(node.host, 8101, 1.0)).close()
+    except ServerError:
+        return False
+    return True
 
 
 def _make_event(request_id: bytes, number: int) -> bytes:
