--- a/basilwinch/platform/tests/test_logs.py
+++ b/basilwinch/platform/tests/test_logs.py
@@ -2,7 +2,6 @@
 
 import pytest
 import structlog
-import trio
 
 from basilwinch.exception import ServerError
 from basilwinch.observability.logs import REQUEST_END_EVENTS
