--- a/bench/silences.py
+++ b/bench/silences.py
@@ -6,6 +6,7 @@
 import collections
 import contextlib
 import json
+import pathlib
 import random
 import re
 import signal
@@ -65,6 +66,8 @@
 _RESTART_INTERVAL_RANGE_S = (0.1, 1.0)
 _LAG_INTERVAL_S = 0.05
 _MIN_LAG_S = 0.05
+_STARVED_INTERVAL_S = 0.5  # between samples of the nodes' waits for a processor
+_MIN_STARVED_S = 0.2
 
 
 class _Stream:
@@ -261,6 +264,8 @@
 
     async def _measure_lag(self, scope) -> None:
         """Record when the soak's own process, with all servers and callers, stood still."""
+        waits: dict[int, float] = {}
+        sampled_at = trio.current_time()
         with scope:
             while True:
                 start = trio.current_time()
@@ -268,6 +273,9 @@
                 now = trio.current_time()
                 if now - start > _LAG_INTERVAL_S + _MIN_LAG_S:
                     self.disturbances.append(("lag", None, start + _LAG_INTERVAL_S, now))
+                if now - sampled_at >= _STARVED_INTERVAL_S:
+                    self._record_starved_nodes(waits, sampled_at, now)
+                    sampled_at = now
 
     async def _wait_until_started(self) -> None:
         """Wait until all nodes accept connections."""
@@ -293,6 +301,22 @@
         lags = [row for row in self.disturbances if row[0] == "lag"]
         return sum(max(0.0, min(end, lag[3]) - max(start, lag[2])) for lag in lags)
 
+    def _record_starved_nodes(self, waits: dict[int, float], start: float, now: float) -> None:
+        """Record the nodes whose main thread was runnable for long without a processor.
+
+        :param waits: total of that time by process, which is updated
+        """
+        for node in self.soak.nodes:
+            pid = node.process.pid
+            try:
+                fields = pathlib.Path(f"/proc/{pid}/schedstat").read_text().split()
+            except OSError:
+                continue
+            wait_s = int(fields[1]) / 1e9
+            if wait_s - waits.get(pid, wait_s) > _MIN_STARVED_S:
+                self.disturbances.append(("starved", node, start, now))
+            waits[pid] = wait_s
+
     async def _send_streams(self, rng, number: int) -> None:
         kept: dict = {}  # connections by node, in use until the node closes them
         count = 0
