--- a/bench/silences.py
+++ b/bench/silences.py
@@ -292,13 +292,17 @@
         for _ in range(_MAX_LAG_WAITS):
             start = trio.current_time()
             await trio.sleep(duration_s)
-            if not self._sum_lag(start, trio.current_time()):
+            if not self._sum_lag(start, trio.current_time(), self.soak.nodes):
                 return start
         return None
 
-    def _sum_lag(self, start: float, end: float) -> float:
+    def _sum_lag(self, start: float, end: float, nodes) -> float:
         """Return for how long the soak stood still, or nodes got no processor, in a time."""
-        lags = [row for row in self.disturbances if row[0] in ("lag", "starved")]
+        lags = [
+            row
+            for row in self.disturbances
+            if row[0] == "lag" or (row[0] == "starved" and row[1] in nodes)
+        ]
         return sum(max(0.0, min(end, lag[3]) - max(start, lag[2])) for lag in lags)
 
     def _record_starved_nodes(self, waits: dict[int, float], start: float, now: float) -> None:
@@ -381,7 +385,10 @@
         """Return the outcome of a stream; one that starts with ``lost`` is a violation."""
         if stream.has_left:
             waited_s = stream.ended_at - stream.sent_at
-            is_overdue = waited_s - self._sum_lag(stream.sent_at, stream.ended_at) > _DEADLINE_S
+            is_overdue = (
+                waited_s - self._sum_lag(stream.sent_at, stream.ended_at, [stream.node])
+                > _DEADLINE_S
+            )
             return "lost: no end after its time limit" if is_overdue else "caller left"
         if stream.is_complete:
             if stream.status == 200:
