--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""A machine whose first registration was carried out late, then cut off from all servers."""
+"""One machine is cut off from the other machines, with resets; what becomes of the others."""
 
 import asyncio
 import collections
@@ -8,6 +8,7 @@
 import random
 import sys
 import tempfile
+import zlib
 
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "tools-2"))
@@ -15,25 +16,28 @@
 import world  # noqa: E402
 from world import now  # noqa: E402
 
-TROUBLE = os.environ.get("TROUBLE", "1")  # 0: none; cut: the second one alone
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 ZONES = ["cluj-centru", "cluj-centru", "cluj-somes", "cluj-somes", "cluj-somes", "cluj-manastur"]
-JOINS = 4  # index of the machine that starts last
-LATE_S = 5.9  # a lost write is done 1 to 6 s later
-CUT_S = 8.0
+CUT_S = 5.5
+PAUSE_S = 8.0  # between two cuts
+CUTS = 2
 STABLE_S = 3.0
-RATE = 0.15  # seconds between requests of a consumer
-CONSUMERS = 4  # on each machine
+RESTART_S = 0.5  # after a process has ended by itself
+CONSUMERS = 8  # on each machine of the zone of three, one on each other
+WORK_S = 0.25
 
 
 async def main() -> int:
     record = world.Record(HERE / "record.txt")
     store = world.Store(record)
     store.put("op/config", world.json.dumps(world.make_configuration()).encode())
-    servers = [
-        world.Server(store, record, f"i-{n}", "depozit", zone)
-        for n, zone in enumerate(["cluj-centru", "cluj-somes", "cluj-manastur"])
-    ]
-    tries = []  # time, machine, status of each first try
+    servers = []
+    for number, zone in enumerate(2 * sorted(set(ZONES))):
+        server = world.Server(store, record, f"i-{number}", "depozit", zone)
+        server.work_s = WORK_S
+        servers.append(server)
+    lost = []  # time, machine, id
+    ends = []  # time, machine, exit code
     tasks = set()
 
     def spawn(coroutine):
@@ -44,7 +48,13 @@
         for number, zone in enumerate(ZONES, 1):
             address = await store.open_port(f"machine-{number}")
             nodes.append(world.Node(number, zone, address, pathlib.Path(folder), sorted(set(ZONES))))
-        peer_port = world._find_free_port("127.0.0.1")
+        # The one of the zone of three that asks the two others for what they read of the store.
+        trio = [node for node in nodes if node.zone == "cluj-somes"]
+        cut = max(trio, key=lambda node: zlib.crc32(node.name.encode()))
+        others = [node for node in nodes if node is not cut]
+        common_port = world._find_free_port("127.0.0.1")
+        port = world._find_free_port("127.0.0.1")
+        link = world.Link(record, cut, others, port, common_port)
         seeds = [f"{node.host}:{node.ports[2]}" for node in nodes[:3]]
         spawn(store.run())
         for server in servers:
@@ -52,130 +62,97 @@
             spawn(server.run())
             spawn(server.run_expiry())
         try:
+            await link.start()
             for node in nodes:
-                node.write_settings(peer_port, seeds)
+                node.write_settings(port if node is cut else common_port, seeds)
                 spawn(node.watch_ready())
-            for node in nodes[:JOINS] + nodes[JOINS + 1 :]:
-                await node.start()
-            await asyncio.sleep(4.0)
-            late = nodes[JOINS]
-            if TROUBLE == "1":
-                store.lose_next_write[f"machine-{JOINS + 1}"] = LATE_S
-            record.write(f"{late.name} is started")
-            await late.start()
-            started = now()
-            await wait_until_ready(nodes)
-            for node in nodes:
-                for number in range(CONSUMERS):
-                    spawn(consume(record, nodes, node, number, tries))
-            # The lease of the write that was done late, 12 s, ends in the meantime.
-            await asyncio.sleep(max(0.0, started + 20.0 - now()))
-            cut_at = now()
-            if TROUBLE != "0":
-                record.write(f"{late.name} is cut off from all servers")
-                for server in servers:
-                    server.cut_machine(late.host)
-            await asyncio.sleep(CUT_S)
-            for server in servers:
-                server.cut.discard(late.host)
-            record.write("the cut is over")
-            end_at = now()
-            await asyncio.sleep(1.0)
-        except TimeoutError as error:
-            record.write(f"could not run: {error}")
-            return 2
+                spawn(keep_running(record, node, ends))
+            limit = now() + 20.0
+            while not all(node.is_ready for node in nodes):
+                if now() > limit:
+                    record.write("could not run: a machine does not get ready")
+                    return 2
+                await asyncio.sleep(0.1)
+            for node in others:
+                for number in range(CONSUMERS if node in trio else 1):
+                    spawn(consume(record, node, number, lost))
+            await asyncio.sleep(STABLE_S + 3.0)
+            for _ in range(CUTS):
+                if TROUBLE:
+                    record.write(f"{cut.name} is cut off from the other machines, with resets")
+                    link.cut()
+                await asyncio.sleep(CUT_S)
+                link.heal()
+                record.write("the cut is over")
+                await asyncio.sleep(PAUSE_S)
         finally:
             for task in tasks:
                 task.cancel()
             for node in nodes:
                 await node.end()
-    return judge(record, tries, late, cut_at, end_at)
-
-
-async def wait_until_ready(nodes) -> None:
-    limit = now() + 20.0
-    while not all(node.is_ready for node in nodes):
-        if now() > limit:
-            raise TimeoutError("a machine does not get ready")
-        await asyncio.sleep(0.1)
-
+    return judge(record, servers, lost, ends, cut)
 
-async def consume(record, nodes, node, number, tries) -> None:
-    """Send requests, all first tries, on a connection that is kept; retry once elsewhere.
 
-    Without a connection the platform chooses a machine that is in rotation.
-    """
+async def keep_running(record, node, ends) -> None:
+    """Start a process, and start it again when it has ended by itself, as the platform does."""
+    while True:
+        await node.start()
+        code = await node.process.wait()
+        ends.append((now(), node.name, code))
+        lines = node.log.read_text(errors="replace").rstrip().splitlines()
+        error = next((line.strip(" |") for line in reversed(lines) if "Error" in line), "")
+        record.write(f"{node.name} has ended by itself with code {code}: {error}")
+        node.is_ready = False
+        await asyncio.sleep(RESTART_S)
+
+
+async def consume(record, node, number, lost) -> None:
+    """Send orders that must not repeat, one after the other, on a connection that is kept."""
     rng = random.Random(f"{node.number}/{number}")
-    connection, machine = None, node
-    count = 0
+    connection, count, is_kept = None, 0, False
     while True:
-        await asyncio.sleep(RATE * rng.uniform(0.8, 1.2))
+        await asyncio.sleep(rng.uniform(0.0, 0.05))
         count += 1
         id_ = f"{node.number:02x}{number:02x}{count:08x}"
-        if connection is None or not connection.is_usable:
-            machine = choose_machine(nodes, node, rng)
+        headers = [
+            ("Host", "h.example"),
+            ("X-Request-Id", id_),
+            ("X-Deadline-Ms", "4000"),
+            ("X-Credential", "key-a-1"),
+        ]
+        try:
+            if connection is None or not connection.is_usable:
+                connection, is_kept = await world.Connection.open(node.host, node.ports[0]), False
+            call = connection.call("POST", f"/release/{id_}", headers, b"order")
+            status, _, _ = await asyncio.wait_for(call, 4.5)
+        except (OSError, asyncio.TimeoutError):
             connection = None
-        sent_at = now()
-        status = 0
-        with contextlib.suppress(OSError, asyncio.TimeoutError):
-            if connection is None:
-                connection = await world.Connection.open(machine.host, machine.ports[0])
-            status, _, _ = await asyncio.wait_for(connection.call(*request(id_)), 4.5)
+            await asyncio.sleep(0.1)
+            continue
+        record.write(f"{id_} sent to {node.name}: {status or 'connection closed, no answer'}")
         if status == 0:
+            if is_kept:
+                lost.append((now(), node.name, id_))
             connection = None
-        tries.append((sent_at, machine.name, status))
-        record.write(f"{id_} sent to {machine.name}: {status}")
-        if status == 200:
-            continue
-        await asyncio.sleep(0.02)
-        other = choose_machine(nodes, node, rng)
-        with contextlib.suppress(OSError, asyncio.TimeoutError):
-            call = world.call(other.host, other.ports[0], *request(id_ + "aa"))
-            status, _, _ = await asyncio.wait_for(call, 4.0)
-            record.write(f"{id_}aa, a retry, sent to {other.name}: {status}")
-
-
-def request(id_: str):
-    headers = [
-        ("Host", "h.example"),
-        ("X-Request-Id", id_),
-        ("X-Deadline-Ms", "4000"),
-        ("X-Credential", "key-a-1"),
-    ]
-    return "GET", f"/check/{id_}", headers, b""
-
-
-def choose_machine(nodes, node, rng):
-    """Return a machine of the consumer's zone as the platform chooses it."""
-    local = [n for n in nodes if n.zone == node.zone]
-    ready = [n for n in local if n.is_ready]
-    if ready:
-        return rng.choice(ready if 2 * len(ready) >= len(local) else local)
-    return rng.choice([n for n in nodes if n.is_ready] or nodes)
-
-
-def judge(record, tries, late, cut_at, end_at) -> int:
-    """RECOVER: first tries at the cut machine, from stable-ms after the cut began."""
-    counts = collections.Counter()
-    for sent_at, machine, status in tries:
-        if cut_at + STABLE_S <= sent_at <= end_at - 0.5:
-            counts[machine == late.name, status == 200] += 1
-    cut_sent = counts[True, True] + counts[True, False]
-    other_sent = counts[False, True] + counts[False, False]
-    text = (
-        f"first tries at {late.name}: {counts[True, True]} of {cut_sent} served; at the others: "
-        f"{counts[False, True]} of {other_sent}"
-    )
-    record.write(text)
-    print(text)
-    if not other_sent or cut_sent < 5 and TROUBLE != "0":
-        return 2
-    cut_ratio = counts[True, True] / max(1, cut_sent)
-    other_ratio = counts[False, True] / other_sent
-    is_rare = cut_ratio < other_ratio * 2 / 3
-    has_many = counts[True, False] > 10 + (cut_sent + other_sent) / 50
-    print("RECOVER broken" if is_rare and has_many else "RECOVER held")
-    return 1 if is_rare and has_many else 0
+        is_kept = True
+
+
+def judge(record, servers, lost, ends, cut) -> int:
+    """LOST, for each machine but the one that is cut: more than three requests that a server ran.
+
+    Each was sent on a connection that had carried an answer before.
+    """
+    ran = {id_ for server in servers for _, _, id_, outcome in server.arrived if outcome == "run"}
+    counts = collections.Counter(name for _, name, id_ in lost if id_ in ran)
+    del counts[cut.name]
+    for name, count in sorted(counts.items()):
+        times = sum(other == name for _, other, _ in ends)
+        text = f"{name}: {count} requests lost that a server ran, {times} ends by itself"
+        record.write(text)
+        print(text)
+    is_broken = any(count > 3 for count in counts.values())
+    print("LOST broken" if is_broken else "LOST held")
+    return 1 if is_broken else 0
 
 
 if __name__ == "__main__":
--- a/review/tools-2/world.py
+++ b/review/tools-2/world.py
@@ -479,6 +479,101 @@
             await asyncio.sleep(1.0)
 
 
+class Link:
+    """The links of one machine to the other machines of the system, which pass through here.
+
+    The machine has an internal port of its own, and this maps it, so that each machine sees the
+    others at their addresses and at the port that it knows. While ``is_resetting``, datagrams are
+    dropped, and connections are reset at both ends: open ones at once, new ones as they are opened.
+
+    :param machine: :class:`Node` whose links these are
+    :param others: the other nodes
+    :param port: internal port of the machine
+    :param common_port: internal port of the others
+    """
+
+    def __init__(self, record: Record, machine, others, port: int, common_port: int):
+        self.record = record
+        self.machine, self.others = machine, others
+        self.port, self.common_port = port, common_port
+        self.is_resetting = False
+        self.open: set = set()
+        self.kept: list = []  # servers, sockets and tasks
+
+    async def start(self) -> None:
+        for other in self.others:
+            await self._listen(other.host, self.port, other.host, self.common_port)
+            self._open_datagrams(other.host, self.port, other.host, self.common_port)
+        await self._listen(self.machine.host, self.common_port, self.machine.host, self.port)
+        self._open_datagrams(self.machine.host, self.common_port, self.machine.host, self.port)
+
+    def cut(self) -> None:
+        """Reset all connections of the machine to others from now on."""
+        self.is_resetting = True
+        for writer in list(self.open):
+            reset(writer)
+
+    def heal(self) -> None:
+        self.is_resetting = False
+
+    async def _listen(self, host, port, target_host, target_port) -> None:
+        async def serve(reader, writer):
+            source = writer.get_extra_info("peername")[0]
+            if self.is_resetting:
+                self.record.write(f"link: a connection of {source} to {target_host} is reset")
+                with socket.socket() as sock:
+                    sock.bind((source, 0))
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+                    with contextlib.suppress(OSError):
+                        sock.connect((target_host, target_port))
+                reset(writer)
+                return
+            try:
+                upstream = await asyncio.open_connection(
+                    target_host, target_port, local_addr=(source, 0)
+                )
+            except OSError:
+                reset(writer)
+                return
+            ends = (writer, upstream[1])
+            self.open.update(ends)
+            try:
+                await asyncio.gather(_copy(reader, upstream[1]), _copy(upstream[0], writer))
+            finally:
+                self.open.difference_update(ends)
+                for end in ends:
+                    end.close()
+
+        self.kept.append(await asyncio.start_server(serve, host, port))
+
+    def _open_datagrams(self, host, port, target_host, target_port) -> None:
+        loop = asyncio.get_running_loop()
+        inner = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        inner.bind((host, port))
+        inner.setblocking(False)
+        senders = {}
+
+        def receive():
+            with contextlib.suppress(OSError):
+                data, (source, _) = inner.recvfrom(65535)
+                if source not in senders:
+                    senders[source] = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+                    senders[source].bind((source, 0))
+                if not self.is_resetting:
+                    senders[source].sendto(data, (target_host, target_port))
+
+        loop.add_reader(inner, receive)
+        self.kept.append(inner)
+
+
+async def _copy(reader, writer) -> None:
+    with contextlib.suppress(OSError):
+        while data := await reader.read(65536):
+            writer.write(data)
+            await writer.drain()
+        writer.write_eof()
+
+
 _given_ports: set[int] = set()
 
 
