--- a/review/tools-2/world.py
+++ b/review/tools-2/world.py
@@ -661,12 +661,26 @@
 
 
 def run(main) -> None:
-    """Run a case and exit with its result, without waiting for what is left of its tasks."""
+    """Run a case and exit with its result, without waiting for what is left of its tasks.
+
+    At SIGTERM the case is given up, after it has ended the processes that it started.
+    """
 
     async def run_and_exit():
         code = 2
+        task = asyncio.create_task(main())
+        loop = asyncio.get_running_loop()
+
+        def give_up():
+            if not task.cancelling():  # the signal may come more than once
+                task.cancel()
+
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, give_up)
         try:
-            code = await main()
+            code = await task
+        except asyncio.CancelledError:
+            print("given up")
         finally:
             sys.stdout.flush()
             os._exit(code)
