--- a/review/6/case.py
+++ b/review/6/case.py
@@ -142,7 +142,7 @@
 
     Each was sent on a connection that had carried an answer before.
     """
-    ran = {id_ for server in servers for _, _, id_, outcome in server.arrived if outcome == "run"}
+    ran = set().union(*(server.ran for server in servers))
     counts = collections.Counter(name for _, name, id_ in lost if id_ in ran)
     del counts[cut.name]
     for name, count in sorted(counts.items()):
--- a/review/tools-2/world.py
+++ b/review/tools-2/world.py
@@ -236,14 +236,20 @@
 
 
 class Server:
-    """A plain server that registers itself, and answers a request after ``work_s``."""
+    """A plain server that registers itself, and answers a request after ``work_s``.
+
+    It runs ``slots`` requests at once and queues ``queue`` more; it turns others away as not run.
+    """
 
     def __init__(self, store: Store, record: Record, name: str, service: str, zone: str):
         self.store, self.record = store, record
         self.id, self.service, self.zone = name, service, zone
         self.work_s = 0.02
         self.slots = 6
+        self.queue = 24
         self.running = 0
+        self.waiting = 0
+        self.free = asyncio.Semaphore(self.slots)
         self.sequence = 0
         self.born = int(time.time() * 1000)
         self.state = "ready"
@@ -252,6 +258,7 @@
         self.extra: list[tuple[str, str]] = []  # further fields of its answers
         self.refuse = None  # function that returns fields of a 503, or None to run the request
         self.arrived: list[tuple[float, str, str, str]] = []  # time, machine, id, outcome
+        self.ran: set[str] = set()  # ids of the requests that it has begun to run
         self.writers: dict = {}
         self.last_beat = -1e9
 
@@ -262,6 +269,8 @@
 
     def beat(self) -> None:
         """Write the entry; called at each status report."""
+        if self.sequence and f"servers/{self.id}" not in self.store.items:
+            self.record.write(f"store: entry of {self.id} is back")
         self.sequence += 1
         entry = {
             "service": self.service,
@@ -336,13 +345,23 @@
             writer.write(build_message(503, [*header, ("X-Not-Executed", "1"), *refusal], b""))
             await writer.drain()
             return True
+        if self.free.locked() and self.waiting >= self.queue:
+            self.arrived.append((now(), peer, request_id, "full"))
+            self.record.write(f"{self.id}: {request_id} from {peer} turned away, full")
+            writer.write(build_message(503, [*header, ("X-Not-Executed", "1")], b""))
+            await writer.drain()
+            return True
         self.arrived.append((now(), peer, request_id, "run"))
-        self.record.write(f"{self.id}: {request_id} from {peer} runs")
-        self.running += 1
-        await asyncio.sleep(self.work_s)
-        self.running -= 1
+        self.waiting += 1
+        async with self.free:
+            self.waiting -= 1
+            self.ran.add(request_id)
+            self.record.write(f"{self.id}: {request_id} from {peer} runs")
+            self.running += 1
+            await asyncio.sleep(self.work_s)
+            self.running -= 1
         stamp = [("X-Server-Stamp", f"{self.id}.{request_id}")]
-        load = [("X-Server-Load", f"{self.running},0,{self.slots}")]
+        load = [("X-Server-Load", f"{self.running},{self.waiting},{self.slots}")]
         writer.write(build_message(200, [*header, *stamp, *load], b"done " + request_id.encode()))
         await writer.drain()
         return True
