Tunnels: keep an error of one connection from ending the node

Cause: accept returns connections that the peer has reset, and getpeername fails on them (ENOTCONN). The call was outside the guard of the rest, and nothing up to the nursery of the node catches an exception.

Change: the guard covers the whole connection. A lost connection is logged at debug level, any other exception with its traceback; both end only that connection, as for callers. The other ports of a node, the gateway and the streams between daemons were tested for the same and hold.

--- a/basilwinch/conftest.py
+++ b/basilwinch/conftest.py
@@ -1,5 +1,7 @@
 """Fixtures of all tests in the package."""
 
+import socket
+
 import pytest
 import structlog
 
@@ -17,3 +19,20 @@
     """Undo what a test has configured: its output is closed, and a later line would fail."""
     yield
     structlog.reset_defaults()
+
+
+@pytest.fixture
+def reset_connections():
+    """Return a function that opens connections to an address and resets them.
+
+    It lets no other task run, so that a listener of the same process accepts them only afterwards.
+    """
+
+    def reset(host: str, port: int, sent: bytes = b"", count: int = 20) -> None:
+        for _ in range(count):
+            connection = socket.create_connection((host, port), 1.0)
+            connection.sendall(sent)
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+            connection.close()
+
+    return reset
--- a/basilwinch/daemon/tests/test_node.py
+++ b/basilwinch/daemon/tests/test_node.py
@@ -148,3 +148,21 @@
     assert 'basilwinch_decisions_total{kind="route",outcome="chosen"} 1.0' in metrics
     # Revision 1 is the note of the example, revision 2 that of its placement.
     assert (state["revision"], state["ready"]) == (2, True)
+
+
+@pytest.mark.parametrize(
+    "sent", [b"", b"GET /v1/mod", b"GET /v1/models HTTP/1.1\r\nHost: h\r\n\r\n"]
+)
+def test_gateway_outlives_connections_reset_before_they_are_accepted(
+    with_node, reset_connections, sent
+):
+    """Guards against the error of one connection that ends the whole process."""
+
+    async def check(client):
+        host, port = client.base.removeprefix("http://").split(":")
+        for _ in range(3):
+            reset_connections(host, int(port), sent)
+            response = await client.request("GET", "/v1/models")
+            assert response.status == 200
+
+    with_node(check)
--- a/basilwinch/membership/tests/test_udp.py
+++ b/basilwinch/membership/tests/test_udp.py
@@ -1,5 +1,6 @@
 """Tests over real sockets on the loopback interface."""
 
+import contextlib
 import random
 
 import prometheus_client
@@ -13,6 +14,7 @@
     UdpTransport,
 )
 from basilwinch.membership.simulation import HeadSource, LoggedReplica, publish
+from basilwinch.membership.transport import split_address
 from basilwinch.observability import DecisionLog
 from basilwinch.standin import MemoryKeyValueStore
 
@@ -67,3 +69,36 @@
     assert value("basilwinch_membership_members", {"state": "alive"}) == 2
     assert value("basilwinch_membership_revision") == 20
     assert value("basilwinch_membership_fetches_total") >= 1
+
+
+def test_node_outlives_streams_reset_before_they_are_accepted(reset_connections):
+    """Guards against the error of one connection that ends the whole process."""
+
+    async def main():
+        transport = await UdpTransport.bind("127.0.0.1:0")
+        config = MembershipConfig(
+            name="entry-0",
+            address=transport.address,
+            zone="howrah",
+            region="kolkata",
+            cluster="test",
+            keyring=Keyring({1: b"k" * 32}),
+            peers=(transport.address,),
+            life=1,
+        )
+        log = DecisionLog.for_benchmark()
+        node = Membership.from_config(config, transport, LoggedReplica(), random.Random(1), log)
+        host, port = split_address(transport.address)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(node.run)
+            with trio.fail_after(10):
+                for sent in (b"", b"\0", b"\xff" * 4000):
+                    reset_connections(host, port, sent)
+                    async with await transport.open_stream(transport.address) as stream:
+                        await stream.send_all(b"\xff" * 100)
+                        with contextlib.suppress(trio.BrokenResourceError):
+                            assert await stream.receive_some() == b""
+            nursery.cancel_scope.cancel()
+        await transport.aclose()
+
+    trio.run(main)
--- a/basilwinch/tunnel/listener.py
+++ b/basilwinch/tunnel/listener.py
@@ -89,13 +89,26 @@
         """Serve one connection of another node."""
         origin = stream.socket
         with origin:
-            peer = origin.getpeername()[0]
-            if not self._carriers.has_address(peer):
-                self._log.warning("tunnel of an unknown node refused", peer=peer)
-                return
-            set_socket_options(origin)
-            with contextlib.suppress(OSError):
-                await self._serve_node(origin, peer)
+            try:
+                await self._serve_origin(origin)
+            except OSError as error:
+                # The other end may reset it at any time, also before it is accepted.
+                self._log.debug("connection of a node lost", error=repr(error))
+            except Exception:
+                # An error on one connection must not end the others.
+                self._log.exception("unexpected error on a connection of a node")
+
+    async def _serve_origin(self, origin) -> None:
+        """Serve a connection if it comes from a registered node.
+
+        :raises OSError: if the connection is lost
+        """
+        peer = origin.getpeername()[0]
+        if not self._carriers.has_address(peer):
+            self._log.warning("tunnel of an unknown node refused", peer=peer)
+            return
+        set_socket_options(origin)
+        await self._serve_node(origin, peer)
 
     async def _serve_node(self, origin, peer: str) -> None:
         line = b""
--- a/basilwinch/tunnel/tests/test_tunnel.py
+++ b/basilwinch/tunnel/tests/test_tunnel.py
@@ -41,8 +41,9 @@
     return await connection.receive_body(1 << 20)
 
 
+LENGTH = b"Content-Length: %d\r\n" % len(BODY)
 HEADS = [
-    pytest.param(b"Content-Length: %d\r\n" % len(BODY), id="length"),
+    pytest.param(LENGTH, id="length"),
     pytest.param(b"", id="ends with its connection"),
 ]
 
@@ -343,3 +344,44 @@
         assert ends == ["reset"]
 
     run_path(test)
+
+
+@pytest.mark.parametrize("sent", [b"", b"TUNNEL/1 s1", b"TUNNEL/1 s1 127.0.0.1:9\n", b"READ/1\n"])
+def test_carrier_outlives_connections_reset_before_they_are_accepted(
+    run_path, reset_connections, sent
+):
+    """Guards against the error of one connection that ends the whole process (LOST)."""
+
+    async def test(path):
+        await path.start_server(make_answer(LENGTH, BODY))
+        await path.start_carrier(1)
+        for _ in range(3):
+            reset_connections("127.0.0.21", path.port, sent)
+            await trio.sleep(0.05)
+        connection = await path.open()
+        assert await call(connection) == BODY
+        connection.close()
+
+    run_path(test)
+
+
+def test_carrier_outlives_an_unexpected_error_of_a_connection(run_path):
+    """Guards against a defect in the service of one connection that ends the whole process."""
+
+    async def test(path):
+        await path.start_server(make_answer(LENGTH, BODY))
+        name = await path.start_carrier(1)
+
+        async def fail(sock, peer):
+            raise ValueError("defect")
+
+        path.listeners[name].protocols[b"FAIL/1\n"] = fail
+        failed = await trio.open_tcp_stream("127.0.0.21", path.port, local_address=ORIGIN_IP)
+        await failed.send_all(b"FAIL/1\n")
+        while await failed.receive_some():
+            pass
+        connection = await path.open()
+        assert await call(connection) == BODY
+        connection.close()
+
+    run_path(test)
