Peers: keep the registration of a node though a write of it is done late

The node had been unknown to all others since a write that got no answer while it started, 20 s before.

Cause: the registration was written without a condition, and each attempt had a new lease. The late write put the key back under the first lease, and it ended with that one. The node renewed the second lease, ignored changes of its own key, and never registered again.

Change: peers/registrar.py reads the key, writes on the condition that it is unchanged, uses one lease until that ends, takes over a registration that is already there, and repairs one that the watch shows as changed by another writer. The loss of a lease is answered at once, not after another renewal interval. Repairs of many nodes keep to the rate that holds after a restore.

Stand-ins: transactions that are done late, and leases that do not exist. Other writes were read for the same cause; a lease that is acquired late blocks it for no longer than its time to live, which a test now shows.

--- a/basilwinch/entry/node.py
+++ b/basilwinch/entry/node.py
@@ -429,7 +429,7 @@
     def _apply_key(self, key: str, value: bytes | None, revision: int) -> None:
         self._store.publish(key, value, revision)
         if key.startswith(NODES_PREFIX):
-            self._peers.apply(key, value)
+            self._peers.apply(key, value, revision)
         elif key.startswith(CONVICTIONS_PREFIX):
             self._convictions.apply(key, value)
         elif key.startswith(LAYOUT_PREFIX):
--- a/basilwinch/lease/tests/test_holder.py
+++ b/basilwinch/lease/tests/test_holder.py
@@ -285,3 +285,33 @@
         assert len(fences) == 1
 
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+@pytest.mark.parametrize("delay_s", [0.1, 1.0, 3.0, 6.0, 9.9, 11.0, 30.0])
+def test_acquisition_that_is_done_late_blocks_the_lease_for_its_time_to_live(delay_s):
+    """Guards against a lease that nobody holds for longer, or that two nodes hold at once."""
+
+    async def main():
+        store = MemoryKeyValueStore()
+        store.delay_writes(delay_s)
+        holding = []
+        acquired_at = []
+
+        async def hold(held):
+            acquired_at.append(trio.current_time())
+            holding.append(held)
+            assert [other.check(trio.current_time()) for other in holding].count(None) == 1
+            await trio.sleep(60.0)
+
+        start = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            for number in range(3):
+                config = LeaseConfig("layout", f"n{number}", TTL_S, MARGIN_S, LONGEST_ORDER_S)
+                holder = LeaseHolder.from_config(config, store, random.Random(number))
+                nursery.start_soon(holder.run, hold)
+            await trio.sleep(300.0)
+            nursery.cancel_scope.cancel()
+        # The time to live, the random delay after it, and the calls of the acquisition.
+        assert acquired_at[0] - start <= TTL_S + TTL_S / 10 + 0.1
+
+    run_virtual(main)
--- a/basilwinch/peers/exchange.py
+++ b/basilwinch/peers/exchange.py
@@ -3,11 +3,11 @@
 import structlog
 import trio
 
-from basilwinch.exception import LEASE_LOST, Failure, PlatformError
+from basilwinch.exception import Failure
 from basilwinch.peers.codec import decode_report, encode_report
 from basilwinch.peers.gathering import Gathering
+from basilwinch.peers.registrar import Registrar
 from basilwinch.peers.registration import decode_registration, encode_registration
-from basilwinch.store import KeyValue
 from basilwinch.view import read_boot_clock
 
 __all__ = ["NODES_PREFIX", "PeerExchange"]
@@ -27,11 +27,6 @@
 # to all others.
 _OWN_EVIDENCE_RESEND_S = 1.0
 _MAX_SUSPECT_BYTES = 8192  # in a report; an entry takes about 150 bytes
-_LEASE_TTL_S = 12.0  # a node that stopped still gets reports until its lease expires
-_RENEW_INTERVAL_S = 4.0
-# After a restore of the store, nodes check their registrations at this rate in all, half of the
-# writes that a small store takes.
-_FLEET_CHECKS_PER_S = 200.0
 _MAX_DATAGRAM_BYTES = 65535
 
 
@@ -55,9 +50,8 @@
     __slots__ = (
         "_name",
         "_ip",
-        "_zone",
         "_port",
-        "_store",
+        "_registrar",
         "_load",
         "_suspects",
         "_server_limits",
@@ -71,9 +65,7 @@
         "_report_requested",
         "_suspects_changed",
         "_own_evidence_at",
-        "_restored",
         "_log",
-        "_rng",
     )
 
     def __init__(
@@ -94,23 +86,21 @@
         self._name = name
         self._ip = ip
         self._port = port
-        self._store = store
         self._load = load
         self._suspects = suspects
         self._server_limits = server_limits
         self._view = view
-        self._zone = zone
         self._carriers = carriers
         self._readers = readers
         self._gathering = Gathering(zone, readers, load)
         self._must_send = False
-        self._rng = rng
         self._sequence = 0
         self._report_requested = trio.Event()
         self._suspects_changed = trio.Event()
         self._own_evidence_at = float("-inf")
-        self._restored = trio.Event()
-        store.history.subscribe(self._notify_restored)
+        value = encode_registration(ip, zone)
+        self._registrar = Registrar(NODES_PREFIX + name, value, store, lambda: self.node_count, rng)
+        store.history.subscribe(self.request_full_report)
         load.on_suspect = self._request_report
         self._peers: dict[str, str] = {}
         self._log = structlog.get_logger("peers")
@@ -124,14 +114,16 @@
         """Return the number of other registered nodes."""
         return len(self._peers)
 
-    def apply(self, key: str, value: bytes | None) -> None:
+    def apply(self, key: str, value: bytes | None, revision: int) -> None:
         """Apply a change of a node's registration.
 
         :param key: key of the registration in the store
         :param value: its registration, or None if it was deleted
+        :param revision: revision of the store at the change, 0 if it is not known
         """
         name = key.removeprefix(NODES_PREFIX)
         if name == self._name:
+            self._registrar.record_change(revision)
             return
         if value is None:
             self._peers.pop(name, None)
@@ -155,55 +147,10 @@
         sock = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM)
         await sock.bind((self._ip, self._port))
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._register)
+            nursery.start_soon(self._registrar.run)
             nursery.start_soon(self._receive, sock)
             nursery.start_soon(self._send, sock)
 
-    async def _register(self) -> None:
-        """Register, and renew the registration or find it again after a restore of the store."""
-        lease, history = None, self._store.history.number
-        while True:
-            try:
-                if history != self._store.history.number:
-                    # The lease may have been lost, and its id given to another node.
-                    lease, asked_in = None, self._store.history.number
-                    lease = await self._find_lease()
-                    history = asked_in
-                if lease is None:
-                    grant = await self._store.grant(_LEASE_TTL_S)
-                    put = KeyValue(NODES_PREFIX + self._name, self._registration, 0, grant.lease)
-                    await self._store.transact([], [put])
-                    lease = grant.lease
-                else:
-                    await self._store.keep_alive(lease)
-            except PlatformError as error:
-                if error.failure.kind is LEASE_LOST:
-                    lease = None
-                self._log.info("node registration or renewal failed", reason=error.failure.reason)
-            await self._wait_for_renewal()
-
-    @property
-    def _registration(self) -> bytes:
-        return encode_registration(self._ip, self._zone)
-
-    async def _find_lease(self) -> int | None:
-        """Return the lease of this node's registration in the store, None if it must register."""
-        found = await self._store.get(NODES_PREFIX + self._name)
-        is_own = found is not None and found.value == self._registration
-        self._log.info("registration checked after a restore of the store", found=is_own)
-        return found.lease if is_own and found.lease else None
-
-    async def _wait_for_renewal(self) -> None:
-        """Wait until the lease must be renewed; a restore of the store ends the wait early."""
-        with trio.move_on_after(_RENEW_INTERVAL_S * self._rng.uniform(0.8, 1.0)):
-            await self._restored.wait()
-            await trio.sleep(self._rng.uniform(0, self.node_count / _FLEET_CHECKS_PER_S))
-        self._restored = trio.Event()
-
-    def _notify_restored(self) -> None:
-        self._restored.set()
-        self.request_full_report()
-
     def notify_suspects_changed(self) -> None:
         """Send the suspects to all peers soon if the evidence has changed."""
         now = trio.current_time()
--- a/basilwinch/platform/tests/standin.py
+++ b/basilwinch/platform/tests/standin.py
@@ -132,6 +132,9 @@
         self.leases: dict[int, tuple[int, float]] = {}
         self.last_lease_id = 0
         self.changed = trio.Event()
+        # By prefix of a key: seconds after which the next write to it is done, without an answer.
+        self.late_writes: dict[str, float] = {}
+        self._nursery = None
         self.servers: list[StandinServer] = []
         self.outage_status: int | None = None  # sent to all calls if set; 0 sends no answer
         self._store_connections: set = set()
@@ -148,6 +151,7 @@
 
     async def start(self, nursery) -> None:
         """Serve the store."""
+        self._nursery = nursery
         listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
         self.port = listeners[0].socket.getsockname()[1]
         nursery.start_soon(trio.serve_listeners, self._serve_store, listeners)
@@ -340,10 +344,26 @@
         return [e for e in self.events if e["revision"] > after and e["key"].startswith(prefix)]
 
     async def _transact(self, query, body, name):
+        for prefix in list(self.late_writes):
+            if any(put["key"].startswith(prefix) for put in body["writes"]):
+                delay_s = self.late_writes.pop(prefix)
+                self._nursery.start_soon(self._transact_late, body, delay_s)
+                await trio.sleep_forever()
+        return self._apply_transaction(body)
+
+    async def _transact_late(self, body, delay_s: float) -> None:
+        await trio.sleep(delay_s)
+        self._expire_leases()
+        self._apply_transaction(body)
+
+    def _apply_transaction(self, body) -> tuple[int, dict]:
         for row in body["expected"]:
             held = self.items.get(row["key"], (b"", 0, 0))[1]
             if held != row["revision"]:
                 return 412, {"items": []}
+        leases = {put.get("lease", 0) for put in body["writes"]}
+        if leases - self.leases.keys() - {0}:
+            return 404, {}
         for put in body["writes"]:
             self.put(put["key"], base64.b64decode(put["value"]), put.get("lease", 0))
         for key in body["remove"]:
--- a/basilwinch/standin/keyvalue.py
+++ b/basilwinch/standin/keyvalue.py
@@ -2,6 +2,7 @@
 
 import bisect
 import collections
+import contextlib
 from contextlib import asynccontextmanager
 
 import trio
@@ -60,6 +61,7 @@
         self._down = False
         self._lost_answers = 0
         self._lost_requests = 0
+        self._write_delays_s: list[float] = []
         self._epoch = 0
         self._pairs: dict[str, KeyValue] = {}
         self._keys: list[str] = []
@@ -98,6 +100,15 @@
         """Lose the next ``count`` writes before they take effect, as an ambiguous failure."""
         self._lost_requests = count
 
+    def delay_writes(self, *delays_s: float) -> None:
+        """Let the next transactions fail as ambiguous, and carry them out only after these times.
+
+        Each is carried out if its conditions hold then, and its leases exist.
+
+        :param delays_s: seconds, one for each transaction
+        """
+        self._write_delays_s = list(delays_s)
+
     def snapshot(self) -> tuple:
         """Return a copy of the state for :meth:`restore`."""
         leases = {
@@ -147,8 +158,20 @@
         """Apply all changes atomically if all conditions hold, else none."""
         self._check_sizes(compares, puts, deletes)
         async with self._call("transact", writes=True):
+            if self._write_delays_s:
+                delay_s = self._write_delays_s.pop(0)
+                trio.lowlevel.spawn_system_task(
+                    self._transact_late, delay_s, compares, puts, deletes
+                )
+                raise PlatformError(PLATFORM_AMBIGUOUS.because("no answer to the write"))
             return self._transact(compares, puts, deletes)
 
+    async def _transact_late(self, delay_s: float, compares, puts, deletes) -> None:
+        await trio.sleep(delay_s)
+        self._expire()
+        with contextlib.suppress(PlatformError):
+            self._transact(compares, puts, deletes)
+
     async def grant(self, ttl_s: float) -> LeaseGrant:
         """Grant a lease with a time to live of ``ttl_s`` seconds."""
         async with self._call("grant", writes=True):
