Servers: take a response with a status above 599 for malformed

Callers got responses with status 600 to 999 and the stamp of the server, and an order at the gateway counted as done with one.

Cause: h11 and httpcore refuse statuses without three digits or below 100, and have no upper bound. RFC 9110, section 15, calls a status outside 100 to 599 invalid, to be treated as an error of the server.

Change: both clients of servers refuse such a response. The outcome is unknown: idempotent requests and streams go on at another server, other callers get 502 without a stamp. A write to the metadata store that gets such a status may have been done; it counted as refused.

--- a/basilwinch/platform/tests/standin.py
+++ b/basilwinch/platform/tests/standin.py
@@ -36,6 +36,8 @@
     resets the connection, ``skip`` leaves out the first event and ``restart`` begins at event 1
     whatever the caller has received. The length of a pause may follow in seconds (``pause:0.5``).
 
+    ``status`` and a code, as in ``status 000``, answers with that code.
+
     ``copy`` and ``copy without id`` send the answer to a plain request a second time after
     ``_COPY_DELAY_S``, and ``wait`` answers one only after twice that time.
 
@@ -447,6 +449,9 @@
         if fault in _RAW_FAULTS:
             await _send_raw(exchange, header, server.kind is not None, fault)
             return
+        if fault.startswith("status "):
+            await _send_status(exchange, header, fault.removeprefix("status "))
+            return
         if fault == "error":
             await exchange.respond(500, header, b"failed")
         elif server.kind is None:
@@ -518,6 +523,13 @@
         await stream.send_all(b"HTTP/1.1 200 OK\r\n" + fields + length + body)
 
 
+async def _send_status(exchange, header, code: str) -> None:
+    """Answer with any text in the place of the status."""
+    fields = b"".join(name + b": " + value + b"\r\n" for name, value in header)
+    head = b"HTTP/1.1 " + code.encode("latin-1") + b" X\r\n" + fields
+    await exchange._connection._stream.send_all(head + b"Content-Length: 4\r\n\r\nbody")
+
+
 async def _send_raw(exchange, header, streaming: bool, fault: str) -> None:
     """Answer without framing, and end the answer by closing the connection."""
     stream = exchange._connection._stream
--- a/basilwinch/platform/tests/test_server_answers.py
+++ b/basilwinch/platform/tests/test_server_answers.py
@@ -138,3 +138,82 @@
         assert len(server.runs) == 1
 
     run_with(test)
+
+
+INVALID_STATUSES = ["000", "099", "101", "600", "700", "999"]
+
+
+async def expect_no_answer(site, method, path) -> None:
+    """Send a request; the answer must say that the outcome is not known, and be no server's."""
+    status, headers, _ = await site.call(method, path, b"r" + path, headers=TOKENS)
+    assert status == 502
+    assert b"x-server-stamp" not in headers
+
+
+def give_faults(site, kind, *faults) -> list:
+    """Let all servers of a kind have the same faults; return the servers."""
+    servers = [server for server in site.platform.servers if server.kind == kind]
+    for server in servers:
+        server.faults = list(faults)
+    return servers
+
+
+@pytest.mark.parametrize("code", INVALID_STATUSES)
+def test_answer_with_an_invalid_status_is_no_answer(run_with, code):
+    """Guards against a status outside 100 to 599 that reaches a caller (MIXED)."""
+
+    async def test(site):
+        plain = give_faults(site, None, f"status {code}")
+        await expect_no_answer(site, b"POST", b"/unsafe/a")
+        assert sum(len(server.runs) for server in plain) == 1
+        give_faults(site, None, f"status {code}")
+        await expect_no_answer(site, b"GET", b"/safe/a")
+        plain[0].faults, plain[1].faults = [f"status {code}"] * 20, []
+        assert await send_many(site, b"GET", b"/safe/b", 10) == [200] * 10
+
+    run_with(test)
+
+
+@pytest.mark.parametrize("earlier", [[], ["cut"]], ids=["first", "resumed"])
+@pytest.mark.parametrize("code", INVALID_STATUSES)
+def test_stream_goes_on_elsewhere_after_an_invalid_status(run_with, configuration, code, earlier):
+    """Guards against a stream that begins with such a status, or is resumed from one (MIXED)."""
+    configuration["routes"][2]["max-attempts"] = 3
+
+    async def test(site):
+        faults = [*earlier, f"status {code}"]  # the first servers that are asked have them
+        for server in give_faults(site, "card"):
+            server.faults = faults
+        status, headers, body = await site.call(b"POST", b"/s/a", b"r1", headers=TOKENS)
+        assert (status, faults) == (200, [])
+        assert b"x-server-stamp" in headers
+        assert body == b"".join(b"id: %d\ndata: token\n\n" % number for number in range(1, 7))
+
+    run_with(test, chains=3)
+
+
+@pytest.mark.parametrize("code", INVALID_STATUSES)
+def test_stream_with_invalid_statuses_only_is_no_answer(run_with, code):
+    """Guards against such a status of the last attempt at a stream (MIXED)."""
+
+    async def test(site):
+        give_faults(site, "card", *[f"status {code}"] * 5)
+        await expect_no_answer(site, b"POST", b"/s/a")
+
+    run_with(test)
+
+
+@pytest.mark.parametrize("code", ["000", "700"])
+def test_carried_answer_with_an_invalid_status_is_no_answer(run_fleet, code):
+    """Guards against such a status that reaches a caller through a carrier (MIXED)."""
+
+    async def test(fleet):
+        await fleet.cut([0], "refuse")
+        site = fleet.sites[0]
+        give_faults(site, None, f"status {code}")
+        await expect_no_answer(site, b"POST", b"/unsafe/a")
+        assert fleet.count_runs(b"r/unsafe/a") == 1
+        give_faults(site, None)
+        assert await send_many(site, b"GET", b"/safe/b", 3) == [200] * 3
+
+    run_fleet(test)
--- a/basilwinch/platform/tests/test_store.py
+++ b/basilwinch/platform/tests/test_store.py
@@ -7,7 +7,12 @@
 import pytest
 import trio
 
-from basilwinch.exception import HISTORY_FORKED, PLATFORM_AMBIGUOUS, PlatformError
+from basilwinch.exception import (
+    HISTORY_FORKED,
+    PLATFORM_AMBIGUOUS,
+    PLATFORM_UNAVAILABLE,
+    PlatformError,
+)
 from basilwinch.platform import MetadataStore
 from basilwinch.platform.tests.standin import StandinPlatform
 from basilwinch.standin.malformed import list_malformed
@@ -136,3 +141,19 @@
     assert page.items[0].key.encode() and page.items[0].value == b""
     assert page.items[1] == KeyValue("servers/i", b"{}", 4, 2)
     assert position == Position(0, 5)
+
+
+@pytest.mark.parametrize("status", [600, 999])
+def test_invalid_status_of_the_store_says_nothing_of_a_write(run_client, status):
+    """Guards against a write that is taken for refused, though it may be done."""
+
+    async def test(platform, client):
+        platform.outage_status = status
+        with pytest.raises(PlatformError) as info:
+            await client.transact([], [KeyValue("a", b"new", 0)])
+        assert info.value.failure.kind is PLATFORM_AMBIGUOUS
+        with pytest.raises(PlatformError) as info:
+            await client.get("a")
+        assert info.value.failure.kind is PLATFORM_UNAVAILABLE
+
+    run_client(test)
--- a/basilwinch/server/connection.py
+++ b/basilwinch/server/connection.py
@@ -9,6 +9,8 @@
 
 __all__ = ["send_request", "translate_errors"]
 
+# Others are invalid, or of a protocol that was not asked for (RFC 9110, section 15).
+_FINAL_STATUSES = range(200, 600)
 _NOT_SENT_ERRORS = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
 _REPLY_LOST_ERRORS = (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError)
 
@@ -42,14 +44,19 @@
     """Send one request to a server and read the whole response.
 
     :param timeout_s: timeout of each read and write in seconds
-    :raises ServerError: ``SERVER_UNREACHABLE`` if it was certainly not sent, else ``STREAM_LOST``
+    :raises ServerError: ``SERVER_UNREACHABLE`` if it was certainly not sent, else ``STREAM_LOST``,
+        also if the status of the response is not that of a final one
     """
     timeouts = {"connect": 0.5, "read": timeout_s, "write": timeout_s, "pool": 1.0}
     with translate_errors(server.name):
-        return await pool.request(
+        response = await pool.request(
             method,
             f"http://{server.address}{path}",
             headers=list(headers),
             content=body,
             extensions={"timeout": timeouts},
         )
+    if response.status not in _FINAL_STATUSES:
+        reason = f"{server.name} replied with the invalid status {response.status}"
+        raise ServerError(STREAM_LOST.because(reason, server=server.name))
+    return response
--- a/basilwinch/server/tests/test_plain.py
+++ b/basilwinch/server/tests/test_plain.py
@@ -4,7 +4,7 @@
 import trio
 
 from basilwinch.catalog import Server
-from basilwinch.exception import ServerError
+from basilwinch.exception import STREAM_LOST, ServerError
 from basilwinch.server.call import ServiceCall
 from basilwinch.server.plain import HttpServiceClient
 from basilwinch.wire import drop_unsent_on_close
@@ -20,7 +20,7 @@
     bodies or errors.
     """
 
-    def run(header: bytes, body_bytes: int, reset: bool):
+    def run(header: bytes, body_bytes: int, reset: bool, code: bytes = b"200"):
         async def reply(stream):
             head = b""
             while b"\r\n\r\n" not in head:
@@ -28,7 +28,7 @@
             read = len(head.partition(b"\r\n\r\n")[2])
             while read < min(READ_BYTES, body_bytes):
                 read += len(await stream.receive_some(READ_BYTES))
-            await stream.send_all(b"HTTP/1.1 200 OK\r\n" + header + b"\r\npart")
+            await stream.send_all(b"HTTP/1.1 " + code + b" X\r\n" + header + b"\r\npart")
             await trio.sleep(0.05)
             if reset:
                 drop_unsent_on_close(stream.socket)
@@ -71,3 +71,11 @@
     """Guards against a whole reply that is refused as the call was not read to its end."""
     assert call_service(b"", body_bytes, reset=False) == [b"part"] * 5
     assert call_service(b"Content-Length: 4\r\n", body_bytes, reset=True) == [b"part"] * 5
+
+
+@pytest.mark.parametrize("code", [b"000", b"099", b"101", b"600", b"700", b"999"])
+def test_reply_with_an_invalid_status_is_lost(call_service, code):
+    """Guards against a status outside 100 to 599 that is taken for the outcome of an order."""
+    results = call_service(b"Content-Length: 4\r\n", 10, reset=False, code=code)
+    assert all(isinstance(result, ServerError) for result in results)
+    assert all(result.failure.kind is STREAM_LOST for result in results)
--- a/basilwinch/wire/client.py
+++ b/basilwinch/wire/client.py
@@ -32,6 +32,9 @@
 _READ_CHUNK_BYTES = 65536
 _TCP_USER_TIMEOUT_MS = 3000  # a connection is closed if sent data is not acknowledged for this time
 _MAX_INLINE_BODY_BYTES = 16384  # fits the send buffer, so that sending does not wait for the server
+# Higher ones are invalid, and count as an error of the server (RFC 9110, section 15). h11 rejects
+# those that are below 100 or have not three digits.
+_MAX_STATUS = 599
 _MAX_INFORMATIONAL_RESPONSES = 16  # before a response; a faulty server may send them without end
 # TCP keep-alive probes detect a server that vanished while nothing is sent to it.
 _TCP_KEEPALIVE_IDLE_S = 2
@@ -239,11 +242,13 @@
         """Return the head of the response.
 
         :raises ServerError: with ``OUTCOME_UNKNOWN`` if the connection fails or is closed, or the
-            response is malformed, or comes after too many informational ones
+            response is malformed, has an invalid status, or comes after too many informational ones
         """
         for _ in range(_MAX_INFORMATIONAL_RESPONSES + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
+                if event.status_code > _MAX_STATUS:
+                    raise ServerError(self._outcome_unknown(f"invalid status {event.status_code}"))
                 self.server_max_idle_s = _read_max_idle_s(event)
                 return event
             if not isinstance(event, h11.InformationalResponse):
--- a/basilwinch/wire/tests/test_client.py
+++ b/basilwinch/wire/tests/test_client.py
@@ -7,7 +7,7 @@
 import trio
 import trio.testing
 
-from basilwinch.exception import ServerError
+from basilwinch.exception import OUTCOME_UNKNOWN, ServerError
 from basilwinch.wire.client import ServerConnection, connect, drop_unsent_on_close
 from basilwinch.wire.pool import ConnectionPool
 
@@ -394,3 +394,35 @@
         connection.close()
 
     trio.run(test)
+
+
+@pytest.mark.parametrize("version", [b"1.0", b"1.1"])
+@pytest.mark.parametrize(
+    "code",
+    [b"000", b"0", b"00", b"0000", b"099", b"101", b"600", b"700", b"999", b"1000", b"20", b"2e2"]
+    + [b"+20", b"-20", b"", b"\xb2\xb0\xb0"],
+)
+def test_response_with_an_invalid_status_is_a_failure(run, code, version):
+    """Guards against a status that is passed on though it is not from 100 to 599."""
+
+    async def test():
+        head = b"HTTP/" + version + b" " + code + b" X\r\nContent-Length: 2\r\n\r\nok"
+        connection = ServerConnection(Socket(response=head), "10.0.0.1", 80)
+        await connection.send(b"GET", b"/", [], b"")
+        with pytest.raises(ServerError) as info:
+            await connection.receive_head()
+        assert info.value.failure.kind is OUTCOME_UNKNOWN
+        assert not connection.finish(0.0)
+
+    run(test)
+
+
+@pytest.mark.parametrize("code", [200, 299, 404, 500, 599])
+def test_response_with_an_unassigned_status_is_passed_on(run, code):
+    async def test():
+        head = b"HTTP/1.1 %d X\r\nContent-Length: 2\r\n\r\nok" % code
+        connection = ServerConnection(Socket(response=head), "10.0.0.1", 80)
+        await connection.send(b"GET", b"/", [], b"")
+        assert (await connection.receive_head()).status_code == code
+
+    run(test)
