Entry: keep a node running while no file descriptor is left

A node that has no descriptor left ended, with all requests in progress.

Cause: open_socket promises ServerError, but created the socket outside its guard. OSError passed all callers, among them the probes, the watch of the store, the lease and the registration, whose tasks are the node's. The sample of the memory opened a file four times a second, with the same result.

Change: the socket is created inside the guard, and the file is opened once. What reads the process from the system has a module of its own.

--- a/basilwinch/entry/node.py
+++ b/basilwinch/entry/node.py
@@ -1,6 +1,6 @@
 """An entry node: its components, start and shutdown."""
 
-import os
+import contextlib
 import random
 import resource
 import signal
@@ -14,6 +14,7 @@
 from basilwinch.chains.server_limits import ServerLimits
 from basilwinch.chains.zone_link import ZoneLinkBudget
 from basilwinch.entry.metrics import Metrics
+from basilwinch.entry.process import ResidentMemory, count_descriptors
 from basilwinch.entry.settings import EntrySettings
 from basilwinch.exception import DRAINING
 from basilwinch.fanout import FanoutStore, Readers, ReaderServer
@@ -98,7 +99,6 @@
 _TCP_USER_TIMEOUT_MS = 5000
 # A crowd fills the budget of bodies within a second.
 _MEMORY_SAMPLE_INTERVAL_S = 0.25
-_PAGE_BYTES = resource.getpagesize()
 
 
 class EntryNode:
@@ -133,7 +133,7 @@
             self._budget, self.metrics.count_refused_client, self._report_refusals
         )
         self._parsing = trio.StrictFIFOLock()
-        self.metrics.set_intake(self._intake, _count_descriptors)
+        self.metrics.set_intake(self._intake, count_descriptors)
         self._links = Reachability()
         self.load = FleetLoad(clock, self._links)
         self._carriers = Carriers(settings.zone, rng)
@@ -453,13 +453,14 @@
 
     async def _sample_memory(self) -> None:
         """Adapt the budget of bodies to the memory of the process, at intervals."""
-        while True:
-            self._intake.adapt(_read_resident_bytes())
-            if self._intake.is_short:
-                # Idle connections to servers take descriptors that callers need.
-                self._intake.is_short = False
-                self._pool.close_all_idle()
-            await trio.sleep(_MEMORY_SAMPLE_INTERVAL_S)
+        with contextlib.closing(ResidentMemory()) as memory:
+            while True:
+                self._intake.adapt(memory.read_bytes())
+                if self._intake.is_short:
+                    # Idle connections to servers take descriptors that callers need.
+                    self._intake.is_short = False
+                    self._pool.close_all_idle()
+                await trio.sleep(_MEMORY_SAMPLE_INTERVAL_S)
 
     async def _run_maintenance(self) -> None:
         """Close idle connections and drop the state of servers that are gone, at intervals.
@@ -480,14 +481,3 @@
             self._server_limits.prune(self.view.servers)
             if self.view.configuration is not None:
                 self._chain_selection.prune(self.view.configuration.services.keys())
-
-
-def _read_resident_bytes() -> int:
-    """Return the resident memory of this process."""
-    with open("/proc/self/statm", "rb") as file:
-        return int(file.read().split()[1]) * _PAGE_BYTES
-
-
-def _count_descriptors() -> int:
-    """Return the number of open file descriptors of this process."""
-    return len(os.listdir("/proc/self/fd")) - 1  # without that of the listing itself
--- a/basilwinch/platform/tests/standin.py
+++ b/basilwinch/platform/tests/standin.py
@@ -171,6 +171,11 @@
         """Let open connections to the store carry nothing more, without a reset; new ones work."""
         self._silent_connections |= self._store_connections
 
+    def close_store_connections(self) -> None:
+        """Close all connections to the store."""
+        for connection in list(self._store_connections):
+            connection.evict()
+
     async def add_server(self, nursery, server_id, service, kind=None) -> StandinServer:
         """Start a server and register it."""
         listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
--- a/basilwinch/wire/client.py
+++ b/basilwinch/wire/client.py
@@ -71,8 +71,9 @@
     :raises ServerError: with ``SERVER_UNREACHABLE``
     """
     with contextlib.ExitStack() as undo:
-        sock = undo.enter_context(trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM))
         try:
+            # Fails if this process has no descriptor left.
+            sock = undo.enter_context(trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM))
             set_socket_options(sock)
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, _SEND_BUFFER_BYTES)
             if local_host is not None:
