--- a/basilwinch/platform/tests/standin.py
+++ b/basilwinch/platform/tests/standin.py
@@ -282,9 +282,10 @@
     def _expire_leases(self) -> None:
         now = trio.current_time()
         for lease in [lease for lease, (_, until) in self.leases.items() if until < now]:
-            self._end_lease(lease)
+            self.end_lease(lease)
 
-    def _end_lease(self, lease: int) -> None:
+    def end_lease(self, lease: int) -> None:
+        """End a lease and delete its keys."""
         self.leases.pop(lease, None)
         for key in [k for k, item in self.items.items() if item[2] == lease]:
             self.delete(key)
@@ -394,7 +395,7 @@
         return 200, {"ttl-ms": ttl_ms}
 
     async def _revoke(self, query, body, name):
-        self._end_lease(int(name))
+        self.end_lease(int(name))
         return 200, {}
 
     async def _answer_server(self, server, exchange) -> None:
--- a/bench/soak_processes.py
+++ b/bench/soak_processes.py
@@ -19,6 +19,7 @@
 from basilwinch.platform.tests.site import KEYS, make_configuration, make_settings
 from basilwinch.platform.tests.standin import StandinPlatform
 from basilwinch.wire import connect
+from bench.anomalies import ANOMALIES, SETTLING_S, check_nodes, delay_first_registrations
 from bench.older_build import extract_build, read_production
 from bench.proxy import FaultProxy
 from bench.silences import FAULT_NAMES, SilenceMode
@@ -40,6 +41,7 @@
 _CUT_ALL_PROBABILITY = 0.1
 _LINK_FAULT_PERIOD = 5  # with ``cuts``, one of so many faults cuts nodes from all servers
 _CUT_DURATION_RANGE_S = (3.0, 7.0)
+_ANOMALY_PERIOD = 2  # with ``anomalies``, one of so many faults is one of them
 _STABLE_S = 3.0  # after the start of a cut or the end of a fault of its process, a node must serve
 _MIN_SERVED_RATIO = 2 / 3  # of cut nodes, against nodes that reach servers
 _MAX_FAILED_FIRST = 10  # first attempts that may fail at cut nodes, besides one in 50
@@ -50,6 +52,7 @@
     """A node's process, on a loopback address of its own."""
 
     def __init__(self, number: int, proxy: FaultProxy, folder: pathlib.Path):
+        self.number = number
         # Concurrent runs get separate loopback networks.
         network, pid = divmod(os.getpid(), 250)
         self.host = f"127.{network % 250 + 1}.{pid}.{number + 1}"
@@ -58,6 +61,8 @@
         self.settings = folder / f"node-{number}.toml"
         self.settings.write_text(make_settings(number, self.host, f"{proxy.host}:{proxy.port}"))
         self.process: subprocess.Popen | None = None
+        self._signalled: subprocess.Popen | None = None  # last process that was asked to end
+        self._own_ends = 0
         self.build: pathlib.Path | None = None  # of an older version, None for this one
         self.cuts = 0  # cuts from all servers in force
         self.cut_at = 0.0
@@ -87,9 +92,16 @@
         if self.process and self.process.poll() is None:
             self.process.send_signal(signal_number)
 
+    def count_own_ends(self) -> int:
+        """Return how many processes of the node have ended without a signal of this test."""
+        has_ended = self.process is not None and self.process.poll() is not None
+        return self._own_ends + (has_ended and self.process is not self._signalled)
+
     async def restart(self, signal_number: int) -> None:
         """End the process by a signal and start it again."""
         process = self.process
+        self._own_ends = self.count_own_ends()
+        self._signalled = process
         self.disturb(math.inf)
         self.send_signal(signal.SIGCONT)
         self.send_signal(signal_number)
@@ -109,12 +121,15 @@
     :param nodes: number of processes
     :param folder: folder for settings and logs
     :param plant: violation to add to the results, which the checks must report: ``twice``,
-        ``refused``, ``cut`` or, with ``silences``, ``streams``; empty for none
+        ``refused``, ``cut``, with ``anomalies`` ``ended`` or, with ``silences``, ``streams``; empty
+        for none
     :param restores: whether the store is also restored from older copies, and its connections fall
         silent; a seed stands for other faults then
     :param cuts: whether nodes are also cut from all servers; a seed stands for other faults then
     :param older_build: folder of an older version, from which all nodes are upgraded one after the
         other, or with an odd seed rolled back to; None for no other version
+    :param anomalies: whether the faults of :mod:`bench.anomalies` are added; a seed stands for
+        other faults then
     :param silences: names of the faults of :class:`~bench.silences.SilenceMode` to choose from, all
         if empty; these faults, its streams and its checks are run instead of those of this class.
         None for no such run
@@ -131,7 +146,9 @@
         cuts: bool = False,
         older_build: pathlib.Path | None = None,
         silences: list[str] | None = None,
+        anomalies: bool = False,
     ):
+        self.anomalies = anomalies
         self.older_build = older_build
         self.is_rollback = seed % 2 == 1
         self.replaced = 0
@@ -178,6 +195,8 @@
                 self.nodes.append(Node(number, proxy, self.folder))
                 if self.silences is not None:
                     self.silences.prepare_node(self.nodes[-1])
+            if self.anomalies:
+                delay_first_registrations(self)
             try:
                 for node in self.nodes:
                     node.build = None if self.is_rollback else self.older_build
@@ -225,11 +244,16 @@
                     self.faults.append("cut_servers")
                     faults.start_soon(_cut_servers, self)
                     continue
+                if self.anomalies and len(self.faults) % _ANOMALY_PERIOD == 0:
+                    fault = self.rng.choice(ANOMALIES)
+                    self.faults.append(fault.__name__.strip("_"))
+                    faults.start_soon(fault, self, self.rng.choice(self.nodes))
+                    continue
                 is_store_fault = self.restores and len(self.faults) % _STORE_FAULT_PERIOD == 0
                 fault = self.rng.choice(_STORE_FAULTS if is_store_fault else _FAULTS)
                 self.faults.append(fault.__name__.strip("_"))
                 faults.start_soon(fault, self, self.rng.choice(self.nodes))
-        await trio.sleep(_SETTLING_S)
+        await trio.sleep(SETTLING_S if self.anomalies else _SETTLING_S)
         settled_at = trio.current_time()
         await trio.sleep(2.0)
         statuses = [status for at, status in self.answers if at > settled_at]
@@ -239,6 +263,8 @@
                 f"recovery: {succeeded} of {len(statuses)} requests succeeded after the faults, "
                 "expected at least 90%"
             )
+        if self.anomalies:
+            self.violations += check_nodes(self)
         self.stopping = True
 
     async def _replace_nodes(self) -> None:
@@ -518,13 +544,14 @@
     cuts: bool = False,
     older: str = "",
     silences: list[str] | None = None,
+    anomalies: bool = False,
 ) -> dict:
     """Run one seed and return its report; ``older`` is the commit of an older version, if any."""
     with contextlib.ExitStack() as stack:
         folder = folder or stack.enter_context(tempfile.TemporaryDirectory())
         pathlib.Path(folder).mkdir(parents=True, exist_ok=True)
         build = extract_build(older, pathlib.Path(folder).resolve()) if older else None
-        soak = Soak(seed, seconds, nodes, folder, plant, restores, cuts, build, silences)
+        soak = Soak(seed, seconds, nodes, folder, plant, restores, cuts, build, silences, anomalies)
         return trio.run(soak.run)
 
 
@@ -540,6 +567,12 @@
     parser.add_argument("--logs", default="", help="folder for logs; a temporary one by default")
     parser.add_argument("--restores", action="store_true", help="also restore the store")
     parser.add_argument("--cuts", action="store_true", help="also cut nodes from all servers")
+    parser.add_argument(
+        "--anomalies",
+        action="store_true",
+        help="also reset connections early, carry out writes late, end leases and send invalid "
+        "statuses",
+    )
     parser.add_argument(
         "--silences",
         nargs="?",
@@ -554,7 +587,9 @@
         help="commit of an older version beside this one, or 'production' for that of the deploy "
         "file; the nodes are upgraded, or with an odd seed rolled back",
     )
-    parser.add_argument("--plant", default="", choices=["", "twice", "refused", "cut", "streams"])
+    parser.add_argument(
+        "--plant", default="", choices=["", "twice", "refused", "cut", "ended", "streams"]
+    )
     options = parser.parse_args(arguments)
     silences = None
     if options.silences is not None:
@@ -578,6 +613,7 @@
             options.cuts,
             read_production() if options.older == "production" else options.older,
             silences,
+            options.anomalies,
         )
         failed += bool(report["violations"])
         print(json.dumps({"seed": seed, **report}), flush=True)
--- a/bench/tests/test_soak_processes.py
+++ b/bench/tests/test_soak_processes.py
@@ -49,10 +49,25 @@
     assert report["replaced"] == 4
 
 
+@pytest.mark.parametrize("seed", [1, 2])
+def test_no_node_ends_or_drops_out_under_anomalies(seed, tmp_path):
+    """Guards against nodes that end by themselves, or are not registered any more."""
+    report = run_seed(seed, seconds=6.0, nodes=4, folder=str(tmp_path), anomalies=True)
+    assert report["violations"] == []
+    assert report["requests"] > 200
+    assert {"reset_early", "write_late", "end_registrations"} & set(report["faults"])
+
+
 @pytest.mark.parametrize(
     ("plant", "words"),
-    [("twice", "ran 2 times"), ("refused", "refused"), ("cut", "cut nodes served")],
+    [
+        ("twice", "ran 2 times"),
+        ("refused", "refused"),
+        ("cut", "cut nodes served"),
+        ("ended", "ended by itself 1 times"),
+    ],
 )
 def test_planted_faults_are_caught(plant, words, tmp_path):
-    report = run_seed(2, seconds=1.0, nodes=2, folder=str(tmp_path), plant=plant)
+    anomalies = plant == "ended"
+    report = run_seed(2, 1.0, 2, str(tmp_path), plant, anomalies=anomalies)
     assert any(words in violation for violation in report["violations"])
