--- a/basilwinch/peers/registrar.py
+++ b/basilwinch/peers/registrar.py
@@ -20,9 +20,9 @@
     """Registers this node and keeps it registered.
 
     A write whose answer is lost may be done seconds later. Each write is therefore made on the
-    condition that the registration is as it was read before, and the same lease is used until it
-    ends, so that a late write does nothing or no harm. A registration that nevertheless changes or
-    disappears, as an earlier process of this node has written it, is written again.
+    condition that the registration is as it was read before, and under the same lease until that
+    ends, so a late write changes nothing or repeats the same registration. An earlier process of
+    this node may still overwrite it; a change by another writer is noticed and repaired.
 
     :param key: key of the registration in the store
     :param value: its value
@@ -86,7 +86,7 @@
             await self._wait()
 
     def _is_registered(self) -> bool:
-        return 0 < self._revision >= self._changed_at
+        return self._revision > 0 and self._changed_at <= self._revision
 
     async def _renew(self) -> bool:
         """Renew the lease, or register; return whether the node is registered afterwards."""
