Convictions: let a write without an answer store nothing once it is cleared

A sound part of a prompt could be refused by all nodes for up to 10 minutes.

Cause: a write of a conviction that gets no answer may be done seconds later, when a request has made progress and cleared the conviction. Nothing took the write back, and its lease lasted as long as the conviction.

Change: the node remembers the lease of such a write, uses it for the next attempt, and ends it when the conviction is cleared or over, after which the store refuses the write.

--- a/basilwinch/peers/convictions.py
+++ b/basilwinch/peers/convictions.py
@@ -6,7 +6,7 @@
 import trio
 
 from basilwinch.document import Fields, parse_document
-from basilwinch.exception import DocumentError, PlatformError
+from basilwinch.exception import LEASE_LOST, DocumentError, PlatformError
 from basilwinch.store import Compare, KeyValue
 
 __all__ = ["CONVICTIONS_PREFIX", "ConvictionRecords"]
@@ -31,7 +31,7 @@
     :param rng: random number generator for the delay of writes
     """
 
-    __slots__ = ("_suspects", "_store", "_rng", "_stored", "_write_at", "_log")
+    __slots__ = ("_suspects", "_store", "_rng", "_stored", "_write_at", "_unanswered", "_log")
 
     def __init__(self, suspects, store, rng):
         self._suspects = suspects
@@ -40,6 +40,8 @@
         self._stored: set[str] = set()
         # By digest: time at which a conviction that is not in the store is written.
         self._write_at: dict[str, float] = {}
+        # By digest: lease of a write that had no answer, and may be done while the lease lasts.
+        self._unanswered: dict[str, int] = {}
         self._log = structlog.get_logger("convictions")
         store.history.subscribe(self._begin_history)
 
@@ -50,6 +52,7 @@
         again.
         """
         self._stored.clear()
+        self._unanswered.clear()  # their ids may be given to other leases
 
     def apply(self, key: str, value: bytes | None) -> None:
         """Apply a change of a conviction in the store.
@@ -86,17 +89,42 @@
             }
             for digest in [d for d, at in self._write_at.items() if at <= now]:
                 await self._write(digest, convictions[digest])
+            for digest in self._unanswered.keys() - convictions.keys():
+                await self._withdraw(digest)
 
     async def _write(self, digest: str, left_s: float) -> None:
         key = CONVICTIONS_PREFIX + digest
         value = json.dumps({"ttl_s": round(left_s, 1)}).encode()
         try:
-            grant = await self._store.grant(left_s)
+            lease = self._unanswered.get(digest) or (await self._store.grant(left_s)).lease
+            self._unanswered[digest] = lease
             outcome = await self._store.transact(
-                [Compare(key, 0)], [KeyValue(key, value, 0, grant.lease)]
+                [Compare(key, 0)], [KeyValue(key, value, 0, lease)]
             )
         except PlatformError as error:
+            if error.failure.kind is LEASE_LOST:
+                self._unanswered.pop(digest, None)
             self._log.info("conviction not stored", digest=digest, reason=error.failure.reason)
             return
+        self._unanswered.pop(digest, None)
         self._stored.add(digest)
         self._log.info("conviction stored", digest=digest, first=outcome.succeeded, ttl_s=left_s)
+
+    async def _withdraw(self, digest: str) -> None:
+        """End the lease of a write without an answer, as its conviction has ended or was cleared.
+
+        If the write is done later, it does nothing.
+        """
+        lease = self._unanswered.get(digest)
+        if lease is None:
+            return  # the store was restored meanwhile
+        try:
+            await self._store.revoke(lease)
+        except PlatformError as error:
+            if error.failure.kind is not LEASE_LOST:
+                self._log.info(
+                    "conviction not withdrawn", digest=digest, reason=error.failure.reason
+                )
+                return
+        self._unanswered.pop(digest, None)
+        self._log.info("conviction withdrawn", digest=digest)
--- a/basilwinch/peers/tests/test_convictions.py
+++ b/basilwinch/peers/tests/test_convictions.py
@@ -9,6 +9,7 @@
 from basilwinch.exception import PLATFORM_UNAVAILABLE, Failure, PlatformError
 from basilwinch.observability import DecisionLog
 from basilwinch.peers.convictions import CONVICTIONS_PREFIX, ConvictionRecords
+from basilwinch.standin import MemoryKeyValueStore
 from basilwinch.store import LeaseGrant, StoreHistory, Transaction
 from basilwinch.suspicion import SuspectConfig, SuspectRegistry, digest_part
 
@@ -166,3 +167,55 @@
         assert suspects.assess("r", (digest,), trio.current_time()) is False
 
     trio.run(test)
+
+
+@pytest.mark.parametrize("delay_s", [1.0, 5.9])
+def test_conviction_that_is_cleared_before_it_is_stored_late_refuses_nothing(delay_s, add_node):
+    """Guards against a sound part that is refused for minutes, as a write without an answer was
+    done after the conviction had been cleared."""
+    shared = MemoryKeyValueStore()
+    suspects, _ = add_node("n0")
+    records = ConvictionRecords(suspects, shared, random.Random(1))
+
+    async def test():
+        shared.delay_writes(delay_s, *[30.0] * 20)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(records.run)
+            convict(suspects, trio.current_time())
+            while not shared.calls["transact"]:
+                await trio.sleep(0.1)
+            now = trio.current_time()
+            suspects.begin_attempt("r", "r", ["s9"], False, now, (BAD,))
+            suspects.record_frame("r", "r", now, 2)
+            assert not suspects.list_convictions(now)
+            await trio.sleep(delay_s + 1.0)
+            assert await shared.get(KEY) is None
+            await trio.sleep(40.0)
+            assert await shared.get(KEY) is None
+            nursery.cancel_scope.cancel()
+
+    trio.run(test, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+@pytest.mark.parametrize("delays_s", [[0.1], [1.0], [5.9], [5.9, 5.9, 5.9], [30.0]])
+def test_conviction_that_is_stored_late_ends_with_its_time(delays_s, add_node):
+    """Guards against a conviction that is missing in the store, or stays there, after a write
+    without an answer."""
+    shared = MemoryKeyValueStore()
+    suspects, _ = add_node("n0")
+    records = ConvictionRecords(suspects, shared, random.Random(1))
+
+    async def test():
+        shared.delay_writes(*delays_s)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(records.run)
+            convict(suspects, trio.current_time())
+            await trio.sleep(5.0)
+            assert await shared.get(KEY) is not None
+            await trio.sleep(590.0)
+            assert await shared.get(KEY) is not None
+            await trio.sleep(12.0)
+            assert await shared.get(KEY) is None
+            nursery.cancel_scope.cancel()
+
+    trio.run(test, clock=trio.testing.MockClock(autojump_threshold=0))
