Soak: callers that keep their connections, and requests lost on them

The soak test opened a connection for each request, so it could not see a node that closes one without a response.

More than three requests that ran, on connections that an undisturbed node closed without a response, are a violation.

--- a/bench/anomalies.py
+++ b/bench/anomalies.py
@@ -14,6 +14,7 @@
 _RESET_ON_CLOSE = b"\1\0\0\0\0\0\0\0"
 _CONNECTIONS = 20
 _PAUSE_S = 0.2
+_MAX_LOST = 3  # requests that ran and have no response, of an undisturbed node
 _LATE_RANGE_S = (1.0, 6.0)
 _STATUSES = ("000", "099", "600", "999")
 #: Time after the last fault in which the leases of late writes end, in seconds.
@@ -76,6 +77,7 @@
     """Return what is wrong with the nodes at the end of a run."""
     violations = []
     platform = soak.platform
+    ran = {request_id for server in platform.servers for request_id in server.runs}
     if soak.plant == "ended":
         soak.nodes[0].send_signal(signal.SIGKILL)
         soak.nodes[0].process.wait()
@@ -83,6 +85,9 @@
         name = f"node-{node.number}"
         if node.count_own_ends():
             violations.append(f"{name} ended by itself {node.count_own_ends()} times")
+        lost = soak.unanswered.get(node.number, set()) & ran
+        if len(lost) > _MAX_LOST:
+            violations.append(f"{name} closed connections without a response to {sorted(lost)}")
         lease = platform.items.get(NODES_PREFIX + name, (b"", 0, 0))[2]
         if lease not in platform.leases:
             violations.append(f"{name} is not registered")
--- a/bench/soak_processes.py
+++ b/bench/soak_processes.py
@@ -166,6 +166,8 @@
         self.violations: list[str] = []
         self.faults: list[str] = []
         self.refused: set[bytes] = set()
+        # By number of the node: requests on kept connections that it closed without a response.
+        self.unanswered: dict[int, set[bytes]] = {}
         self.answers: list[tuple[float, int]] = []
         self.sent: dict[bytes, tuple[str, float]] = {}
         self.revoked: dict[str, float] = {}
@@ -285,6 +287,7 @@
 
     async def _send_requests(self, rng, number: int) -> None:
         count = 0
+        kept = {} if self.anomalies and number % 2 else None
         while not self.stopping:
             await trio.sleep(_REQUEST_INTERVAL_S * rng.uniform(0.5, 3))
             count += 1
@@ -295,9 +298,13 @@
             request_id = b"%s-%d-%d" % (kind.encode(), number, count)
             node = rng.choice(self.nodes)
             with trio.move_on_after(4.0):
-                await self._send_request(node, kind, key, request_id)
+                await self._send_request(node, kind, key, request_id, kept)
 
-    async def _send_request(self, node, kind, key, request_id) -> None:
+    async def _send_request(self, node, kind, key, request_id, kept: dict | None) -> None:
+        """Send a request and check its response.
+
+        :param kept: connections of the caller by node, None if it opens one for each request
+        """
         sent_at = trio.current_time()
         self.sent[request_id] = (key, sent_at)
         group = self._find_group(node, sent_at) if key not in self.revoked else None
@@ -311,16 +318,26 @@
             (b"X-Token-Count", b"50,18"),
             (b"X-Credential", key.encode()),
         ]
-        connection = None
+        connection = None if kept is None else kept.pop(node, None)
+        if connection is not None and not connection.is_open_and_silent():
+            connection.close()
+            connection = None
+        is_kept, is_reusable = connection is not None, False
+        is_disturbed = sent_at < node.disturbed_until
         try:
-            connection = await connect(node.host, 8101, 1.0)
+            connection = connection or await connect(node.host, 8101, 1.0)
             await connection.send(method, b"/%s/x" % kind.encode(), header, b"")
             response = await connection.receive_head()
             body = await connection.receive_body(1 << 20)
+            is_reusable = kept is not None and connection.finish(trio.current_time())
         except ServerError:
+            if is_kept and not is_disturbed and trio.current_time() >= node.disturbed_until:
+                self.unanswered.setdefault(node.number, set()).add(request_id)
             return
         finally:
-            if connection is not None:
+            if is_reusable:
+                kept[node] = connection
+            elif connection is not None:
                 connection.close()
         if key not in self.revoked:
             self.answers.append((trio.current_time(), response.status_code))
