Tunnels: resets from registered nodes, and while a connection is served

Cause: the test of early resets used an address that is not registered, so the rest of the handshake was not reached when the reset came later.

Change: the same from the address of a registered node, and resets 0 to 20 ms after the first bytes, in series.

--- a/basilwinch/conftest.py
+++ b/basilwinch/conftest.py
@@ -28,9 +28,9 @@
     It lets no other task run, so that a listener of the same process accepts them only afterwards.
     """
 
-    def reset(host: str, port: int, sent: bytes = b"", count: int = 20) -> None:
+    def reset(host: str, port: int, sent: bytes = b"", count: int = 20, source: str = "") -> None:
         for _ in range(count):
-            connection = socket.create_connection((host, port), 1.0)
+            connection = socket.create_connection((host, port), 1.0, (source, 0))
             connection.sendall(sent)
             connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
             connection.close()
--- a/basilwinch/tunnel/tests/test_tunnel.py
+++ b/basilwinch/tunnel/tests/test_tunnel.py
@@ -346,9 +346,13 @@
     run_path(test)
 
 
-@pytest.mark.parametrize("sent", [b"", b"TUNNEL/1 s1", b"TUNNEL/1 s1 127.0.0.1:9\n", b"READ/1\n"])
+FIRST_BYTES = [b"", b"TUNNEL/1 s1", b"TUNNEL/1 s1 127.0.0.1:9\n", b"READ/1\n"]
+
+
+@pytest.mark.parametrize("sent", FIRST_BYTES)
+@pytest.mark.parametrize("source", ["", ORIGIN_IP], ids=["unknown", "registered"])
 def test_carrier_outlives_connections_reset_before_they_are_accepted(
-    run_path, reset_connections, sent
+    run_path, reset_connections, sent, source
 ):
     """Guards against the error of one connection that ends the whole process (LOST)."""
 
@@ -356,7 +360,7 @@
         await path.start_server(make_answer(LENGTH, BODY))
         await path.start_carrier(1)
         for _ in range(3):
-            reset_connections("127.0.0.21", path.port, sent)
+            reset_connections("127.0.0.21", path.port, sent, source=source)
             await trio.sleep(0.05)
         connection = await path.open()
         assert await call(connection) == BODY
@@ -365,6 +369,28 @@
     run_path(test)
 
 
+@pytest.mark.parametrize("delay_s", [0.0, 0.001, 0.02])
+@pytest.mark.parametrize("sent", FIRST_BYTES)
+def test_carrier_outlives_connections_reset_while_they_are_served(run_path, sent, delay_s):
+    """Guards against the error of one connection that ends the whole process (LOST)."""
+
+    async def test(path):
+        await path.start_server(make_answer(LENGTH, BODY))
+        name = await path.start_carrier(1)
+        for _ in range(20):
+            origin = await trio.open_tcp_stream("127.0.0.21", path.port, local_address=ORIGIN_IP)
+            await origin.send_all(sent.replace(b":9\n", b":%d\n" % path.server_port))
+            await trio.sleep(delay_s)
+            drop_unsent_on_close(origin.socket)
+            origin.socket.close()
+        connection = await path.open()
+        assert await call(connection) == BODY
+        connection.close()
+        await path.wait_until(lambda: path.listeners[name].count_tunnels() == 0)
+
+    run_path(test)
+
+
 def test_carrier_outlives_an_unexpected_error_of_a_connection(run_path):
     """Guards against a defect in the service of one connection that ends the whole process."""
 
