Comments: final statuses, exported names of the soak faults

Cause: a comment named two reasons where one holds; a shared constant was missing in __all__. Change: wording and __all__ only.

--- a/basilwinch/server/connection.py
+++ b/basilwinch/server/connection.py
@@ -9,7 +9,7 @@
 
 __all__ = ["send_request", "translate_errors"]
 
-# Others are invalid, or of a protocol that was not asked for (RFC 9110, section 15).
+# Any other status is invalid in a final response (RFC 9110, section 15).
 _FINAL_STATUSES = range(200, 600)
 _NOT_SENT_ERRORS = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
 _REPLY_LOST_ERRORS = (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError)
--- a/bench/anomalies.py
+++ b/bench/anomalies.py
@@ -7,7 +7,7 @@
 
 from basilwinch.peers.exchange import NODES_PREFIX
 
-__all__ = ["ANOMALIES", "check_nodes", "delay_first_registrations"]
+__all__ = ["ANOMALIES", "SETTLING_S", "check_nodes", "delay_first_registrations"]
 
 _PORTS = (8101, 8102, 8110)  # of callers, readiness and other nodes
 _HEADS = (b"", b"GET /safe/x HT", b"GET /safe/x HTTP/1.1\r\nHost: h.example\r\n\r\n", b"READ/1\n")
