--- a/review/tools-3/stage.py
+++ b/review/tools-3/stage.py
@@ -17,7 +17,7 @@
 
 import trio  # noqa: E402
 
-from basilwinch.platform.tests.standin import StandinPlatform  # noqa: E402
+from basilwinch.platform.tests.standin import StandinPlatform, StandinServer  # noqa: E402
 
 KEY = "n2ctnfzs989anu6wsjnb"
 HOST = "ficu95.example"
@@ -134,6 +134,44 @@
     }
 
 
+class Platform(StandinPlatform):
+    """The project's stand-in, with orders as PROTOCOL.md tells them.
+
+    ``orders`` lists what servers were ordered: id, body, status. A server that is ordered to hold
+    more layers than ``max_layers`` says for its kind crashes.
+    """
+
+    def __init__(self, configuration: dict):
+        super().__init__(configuration)
+        self.orders: list[tuple[str, dict, int]] = []
+        self.max_layers: dict[str, int] = {}
+        self.on_order = lambda server, order, status: None
+
+    async def _answer_server(self, server, exchange) -> None:
+        expected_id = exchange.headers.get(b"x-expect-instance", server.id.encode())
+        if expected_id != server.id.encode():
+            header = [(b"X-Instance-Id", server.id.encode()), (b"X-Not-Executed", b"1")]
+            await exchange.respond(421, header, b"")
+        elif exchange.target == b"/-/order":
+            order = json.loads(exchange.body)
+            is_current = order.get("expected", server.orders) == server.orders
+            status = 202 if is_current else 409
+            if server.kind is None:
+                status = 400
+            self.orders.append((server.id, order, status))
+            self.on_order(server, order, status)
+            if status == 202:
+                server.orders += 1
+                if order["to"] - order["from"] > self.max_layers.get(server.kind, 1 << 30):
+                    server.crash()
+                    return
+                server.layers = (order["from"], order["to"])
+                self.register(server)
+            await exchange.respond(status, [], b"")
+        else:
+            await super()._answer_server(server, exchange)
+
+
 class Record:
     """The file that tells what was sent, answered and run."""
 
@@ -225,6 +263,23 @@
         self.nursery.start_soon(self._beat, server)
         return server
 
+    async def add_server_at(self, port: int, server_id: str, service: str, kind: str):
+        """Start a server at a port of 127.0.0.1 that an earlier one had."""
+        listeners = await trio.open_tcp_listeners(port, host="127.0.0.1")
+        server = StandinServer(server_id, service, port, kind)
+        server.nursery = self.nursery
+        self.platform.servers.append(server)
+
+        async def answer(exchange):
+            await self.platform._answer_server(server, exchange)
+
+        serve = self.platform._serve_with(answer)
+        self.nursery.start_soon(server.serve, serve, listeners)
+        self.platform.register(server)
+        self.beating.add(server)
+        self.nursery.start_soon(self._beat, server)
+        return server
+
     async def _beat(self, server) -> None:
         while True:
             await trio.sleep(HEARTBEAT_S)
@@ -338,7 +393,7 @@
         stage = None
         try:
             async with trio.open_nursery() as nursery:
-                platform = StandinPlatform(configuration)
+                platform = Platform(configuration)
                 await platform.start(nursery)
                 stage = Stage(platform, nursery, pathlib.Path(name), record)
                 yield stage
