--- a/review/tools-3/stage.py
+++ b/review/tools-3/stage.py
@@ -3,6 +3,7 @@
 import contextlib
 import itertools
 import json
+import logging
 import os
 import pathlib
 import signal
@@ -15,10 +16,14 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 sys.path[:0] = [str(ROOT), str(ROOT / "target" / "deps")]
 
+import structlog  # noqa: E402
 import trio  # noqa: E402
 
 from basilwinch.platform.tests.standin import StandinPlatform, StandinServer  # noqa: E402
 
+# What the stand-ins log themselves is left out; record.txt tells what matters.
+structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL))
+
 KEY = "n2ctnfzs989anu6wsjnb"
 HOST = "ficu95.example"
 HEARTBEAT_S = 1.2
@@ -41,7 +46,10 @@
 discovery = "platform"
 entry = "virtual_ip"
 heartbeat-ms = 1200
-contracts = ["base","drain","config","cost","retry","recover","engine","stream","tenants","platform","layers"]
+contracts = [
+  "base","drain","config","cost","retry","recover",
+  "engine","stream","tenants","platform","layers",
+]
 [zones]
 z0 = "r0"
 [listen]
