--- a/review/11/case.py
+++ b/review/11/case.py
@@ -12,12 +12,12 @@
 BAD = "91bd3f06"  # the part that crashes servers
 COMMON = "5c1e07a2"  # first part of all requests
 SERVERS = 8
-PREFILL_S = 0.12
+PREFILL_S = 0.04
 EVENTS = 20
 EVENT_S = 0.03
 BACK_S = 3.0  # a crashed server is back after this time
 SILENCE_S = 3 * stage.HEARTBEAT_S  # after which the entry of a server is removed
-BATCH = 6  # requests with the part that a caller sends at once
+BATCH = 7  # requests with the part that a caller sends at once
 BATCH_INTERVAL_S = 8.0
 BATCHES = 6
 STABLE_S = 3.0
